--- /dev/null
+++ b/source/core/state.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "configuration/state.hpp"
+#include "core/identity.hpp"
+#include "membership/state.hpp"
+#include "ownership/state.hpp"
+#include "requests/state.hpp"
+
+namespace lovagetack::core {
+
+/// All that one instance knows. It is lost with the process; what must last is in the platform's table service.
+struct state {
+    explicit state(const core::identity& identity);
+
+    core::identity identity;
+    membership::state membership;
+    configuration::state configuration;
+    ownership::state ownership;
+    requests::state requests;
+    /// A configuration is in force, so that this instance can serve.
+    bool ready = false;
+};
+
+} // namespace lovagetack::core
--- /dev/null
+++ b/source/telemetry/event_log.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include <log4cxx/logger.h>
+
+#include "base/boot_time.hpp"
+#include "base/result.hpp"
+#include "model/timeline_entry.hpp"
+
+namespace lovagetack::telemetry {
+
+enum class log_level : std::uint8_t {
+    debug,
+    info,
+    warn,
+    error,
+};
+
+/// "debug", "info", "warn" or "error"; info for any other text.
+[[nodiscard]] log_level read_log_level(const std::string& text);
+
+/// The fields as key=value pairs with a space between them; a value that has spaces, quotes or control characters is
+/// quoted, with backslash escapes.
+[[nodiscard]] std::string format_fields(const std::vector<model::timeline_field>& fields);
+
+/// Writes one key=value line per event through log4cxx. Repeats of one event name beyond a rate are counted instead,
+/// and the count stands in the next line of that name.
+class event_log {
+public:
+    /// file empty: standard output.
+    event_log(const std::string& instance, log_level lowest, const std::string& file);
+
+    void write(log_level level, base::boot_time now, const model::timeline_entry& entry);
+
+private:
+    struct rate {
+        base::boot_time window_start;
+        int lines = 0;
+        std::uint64_t suppressed = 0;
+    };
+
+    static constexpr int lines_per_second = 20;
+
+    [[nodiscard]] bool admit(rate& rate, base::boot_time now) const;
+
+    log_level lowest_;
+    log4cxx::LoggerPtr logger_;
+    std::unordered_map<std::string, rate> rates_;
+};
+
+} // namespace lovagetack::telemetry
