service, cli: add the shells around the reducer and the command line

Cause: the thin path needs a process that wires the modules and commands to operate it. The instance itself follows when the modules are merged; nothing of this is built into the program yet.

--- /dev/null
+++ b/source/cli/http_call.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+
+#include <QByteArray>
+
+#include "base/result.hpp"
+#include "model/address.hpp"
+
+namespace lovagetack::cli {
+
+struct http_answer {
+    int status = 0;
+    QByteArray body;
+};
+
+/// Blocking calls of the command line tools to an instance's operators' address or the platform, with a limit of 10 s.
+/// A call may run twice, so callers only make those that may. Fails with peer_unreachable.
+[[nodiscard]] base::result<http_answer> http_read(const model::address& address, const std::string& path_and_query);
+[[nodiscard]] base::result<http_answer> http_post(const model::address& address, const std::string& path,
+                                                  const QByteArray& body);
+
+/// Percent-encodes a query value.
+[[nodiscard]] std::string encode_query(const std::string& value);
+
+} // namespace lovagetack::cli
--- a/source/core/reduce.cpp
+++ b/source/core/reduce.cpp
@@ -148,6 +148,7 @@
         to_membership(output);
         to_ownership(output);
         to_requests(output);
+        state_.deployment_version = output.deployment.version;
         if (!state_.ready) {
             state_.ready = true;
             to_membership(membership::service_started{});
--- a/source/core/state.hpp
+++ b/source/core/state.hpp
@@ -17,6 +17,8 @@
     configuration::state configuration;
     ownership::state ownership;
     requests::state requests;
+    /// Version of the configuration in force; 0 while none is.
+    std::uint64_t deployment_version = 0;
     /// A configuration is in force, so that this instance can serve.
     bool ready = false;
 };
