ownership: elect controllers, create assignments and grant leases

The instances need a module that decides which backend server owns each key. This adds the first part: the controllers row and epoch reservations, claims by majority of the witnesses, grant polls with leases on the servers' clocks, the initial assignment rows, failover to the successor, repair of rows after losses, activation facts and routes. Balance, moves between data centres and home leases of unchecked services are still missing.

Nothing was measured. test_ownership passes with two data centres, three instances and four backend servers each, in simulated time.

The module can be wired into core; its interface is reduce.hpp and state.hpp.

--- /dev/null
+++ b/source/ownership/assigning.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "ownership/step.hpp"
+
+/// The rows assignments/<service>.<data centre>: creation, and new owners and successors after losses (4.1, 4.3).
+namespace lovagetack::ownership {
+
+/// Creates the rows of services that have none, and writes what failovers and losses changed.
+void maintain_rows(step& step);
+
+/// Chooses backend servers of a service for new ranges, the least burdened first.
+class server_choice {
+public:
+    /// Servers of one data centre; their burden is counted from the ranges of its row.
+    server_choice(const state& state, const model::service_id& service, const model::data_centre_id& data_centre,
+                  base::boot_time now);
+
+    /// A server that can be given ranges and is none of the two; empty when there is none.
+    [[nodiscard]] model::backend_server_id pick(const model::backend_server_id& not_this,
+                                                const model::backend_server_id& nor_this = {});
+
+    [[nodiscard]] bool empty() const { return burden_.empty(); }
+
+private:
+    std::map<model::backend_server_id, std::size_t> burden_;
+};
+
+/// A fence above all fences of the entry and above `floor`, under the controller's epoch where possible. A range that
+/// comes from a data centre with higher epochs keeps that epoch with a higher sequence.
+[[nodiscard]] model::fence next_fence(state& state, const model::range_assignment& entry, const model::fence& floor);
+
+} // namespace lovagetack::ownership
--- /dev/null
+++ b/source/ownership/election.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "ownership/event.hpp"
+#include "ownership/step.hpp"
+
+/// Who controls the data centre: epochs, claims, authority by majority of the witnesses, heartbeats (4.2).
+namespace lovagetack::ownership {
+
+/// Starts silences anew after an own pause. Call first at every event.
+void observe_pause(step& step);
+
+/// Gains or loses authority as the accepted polls say. Call at every event before anything is granted.
+void check_authority(step& step);
+
+/// Candidate: claims after the controller's silence. Claimant: gives up. Controller: sends heartbeats.
+void run_election(step& step);
+
+void hear_controller(step& step, const controller_heard& heard);
+
+/// Polls the witnesses from now on with this epoch.
+void claim(step& step, model::epoch epoch);
+
+/// Becomes a candidate again. An epoch that no witness refused is kept as reservation.
+void step_down(step& step, std::string reason);
+
+/// Forgets what servers granted or reported in the last term.
+void reset_term(state& state);
+
+/// Backend servers of the data centre whose acceptance should count, drained ones left out.
+[[nodiscard]] std::vector<model::backend_server_id> wanted_witnesses(const state& state);
+
+/// The live candidates in the order of their reservations.
+[[nodiscard]] std::vector<model::member> candidates_in_order(const state& state);
+
+/// State of this instance in the list of members; absent when it is not listed.
+[[nodiscard]] std::optional<model::member_state> own_member_state(const state& state);
+
+} // namespace lovagetack::ownership
--- /dev/null
+++ b/source/ownership/granting.cpp
@@ -0,0 +1,256 @@
+#include "ownership/granting.hpp"
+
+#include <algorithm>
+
+#include "ownership/intervals.hpp"
+#include "ownership/servers.hpp"
+#include "ownership/units.hpp"
+
+namespace lovagetack::ownership {
+namespace {
+
+constexpr std::size_t pending_polls_kept = 32;
+
+bool covered(const std::vector<model::granted_range>& ranges, const model::service_id& service, const unit& unit) {
+    return std::any_of(ranges.begin(), ranges.end(), [&](const model::granted_range& range) {
+        return range.service == service && range.fence == unit.fence && range.first <= unit.first &&
+               range.last >= unit.last;
+    });
+}
+
+/// Whether the unit may be in the next poll of its target.
+bool may_grant(const step& step, const server_view& view, const model::service_id& service, const unit& unit) {
+    const auto& state = step.state;
+    if (!view.reached) {
+        return false;
+    }
+    if (covered(view.sent, service, unit) || covered(view.held, service, unit)) {
+        return true;
+    }
+    if (is_unwanted(state, view.server.id) || is_silent(state, view, step.now)) {
+        return false;
+    }
+    return is_clear(state, service, unit, step.now);
+}
+
+using grant_lists = std::map<model::backend_server_id, std::vector<model::granted_range>>;
+
+/// The ranges that each server should have now.
+grant_lists wanted_grants(const step& step) {
+    const auto& state = step.state;
+    grant_lists lists;
+    for (const auto& service : state.deployment.services) {
+        if (!service.divided_by_key) {
+            continue;
+        }
+        for (const auto& unit : units_of(state, service.id, step.now)) {
+            const auto found = state.servers.find(unit.target);
+            if (found == state.servers.end() || !may_grant(step, found->second, service.id, unit)) {
+                continue;
+            }
+            auto& list = lists[unit.target];
+            const bool continues = !list.empty() && list.back().service == service.id &&
+                                   list.back().last + 1 == unit.first && list.back().fence == unit.fence;
+            if (continues) {
+                list.back().last = unit.last;
+                continue;
+            }
+            list.push_back({service.id, unit.first, unit.last, unit.fence});
+        }
+    }
+    return lists;
+}
+
+/// Ranges reported by a server although no row known here contains them stay granted until a row says otherwise.
+void keep_unknown(const state& state, const server_view& view, std::vector<model::granted_range>& list) {
+    for (const auto& range : view.held) {
+        const auto* row = own_row(state, range.service);
+        if (row == nullptr && model::find_service(state.deployment, range.service) != nullptr) {
+            list.push_back(range);
+        }
+    }
+}
+
+void note_revocations(server_view& view, const std::vector<model::granted_range>& next, std::uint64_t version) {
+    const auto is_next = [&](const model::granted_range& range) {
+        return std::find(next.begin(), next.end(), range) != next.end();
+    };
+    for (const auto& range : view.sent) {
+        if (!is_next(range)) {
+            view.revoked.push_back({range, version});
+        }
+    }
+    for (const auto& range : view.held) {
+        const bool known = std::any_of(view.revoked.begin(), view.revoked.end(),
+                                       [&](const revocation& revocation) { return revocation.range == range; });
+        if (!known && !is_next(range)) {
+            view.revoked.push_back({range, version});
+        }
+    }
+}
+
+void note_activations(step& step, server_view& view, const std::vector<model::granted_range>& next) {
+    for (const auto& range : next) {
+        note_granted(step.state, range.service, {range.first, range.last, view.server.id, range.fence});
+        const bool is_new = std::find(view.sent.begin(), view.sent.end(), range) == view.sent.end() &&
+                            std::find(view.held.begin(), view.held.end(), range) == view.held.end();
+        if (is_new) {
+            note(step, "range_activated",
+                 {{"service", range.service.value()},
+                  {"first", std::to_string(range.first)},
+                  {"last", std::to_string(range.last)},
+                  {"backend_server", view.server.id.value()},
+                  {"fence", text_of(range.fence)}});
+        }
+    }
+}
+
+model::grant_poll poll_without_grant(const state& state) {
+    model::grant_poll body;
+    body.epoch = state.epoch;
+    body.grant_version = state.grant_version;
+    return body;
+}
+
+/// Renews the lease unless the server is suspected, and replaces its ranges.
+void add_grant(step& step, server_view& view, std::vector<model::granted_range> ranges, model::grant_poll& body) {
+    auto& state = step.state;
+    body.replace_ranges = true;
+    note_revocations(view, ranges, body.grant_version);
+    note_activations(step, view, ranges);
+    view.sent = ranges;
+    body.ranges = std::move(ranges);
+    if (is_silent(state, view, step.now)) {
+        return;
+    }
+    body.lease_from = view.clock;
+    body.lease_boot_id = view.boot_id;
+    body.lease_time = state.rules.lease_time;
+    view.lease_bound = std::max(view.lease_bound, view.last_answer_at + state.rules.lease_bound);
+}
+
+void send_poll(step& step, server_view& view, model::grant_poll body) {
+    auto& state = step.state;
+    const auto poll = state.next_poll++;
+    view.pending[poll] = {step.now, state.epoch};
+    while (view.pending.size() > pending_polls_kept) {
+        view.pending.erase(view.pending.begin());
+    }
+    view.next_poll_at = step.now + state.rules.poll_interval;
+    step.effects.emplace_back(send_grant_poll{view.server.id, view.server.address, poll, std::move(body)});
+}
+
+void poll_server(step& step, server_view& view, grant_lists& lists, bool controls) {
+    auto& state = step.state;
+    auto wanted = std::move(lists[view.server.id]);
+    keep_unknown(state, view, wanted);
+    const bool changed = controls && view.reached && wanted != view.sent;
+    if (!changed && step.now < view.next_poll_at) {
+        return;
+    }
+    ++state.grant_version;
+    auto body = poll_without_grant(state);
+    if (controls && view.reached) {
+        add_grant(step, view, std::move(wanted), body);
+    }
+    send_poll(step, view, std::move(body));
+}
+
+void note_lapse(step& step, server_view& view) {
+    const bool lapsed = view.reached && is_down(step.state, view, step.now);
+    if (!lapsed) {
+        return;
+    }
+    view.reached = false;
+    view.held.clear();
+    view.sent.clear();
+    view.revoked.clear();
+    note(step, "lease_lapsed", {{"backend_server", view.server.id.value()}});
+}
+
+/// Whether the answer is the newest one of the server; an older one says nothing about its present state.
+bool take_observations(step& step, server_view& view, std::uint64_t poll, const model::grant_answer& answer) {
+    if (poll <= view.last_answered_poll) {
+        return false;
+    }
+    if (view.answered && view.boot_id != answer.boot_id) {
+        note(step, "backend_server_restarted", {{"backend_server", view.server.id.value()}});
+    }
+    view.last_answered_poll = poll;
+    view.answered = true;
+    view.last_answer_at = step.now;
+    view.clock = answer.clock;
+    view.boot_id = answer.boot_id;
+    view.uptime = answer.uptime;
+    view.draining = answer.draining;
+    view.activity = answer.activity;
+    return true;
+}
+
+void take_ranges(step& step, server_view& view, const model::grant_answer& answer) {
+    view.reached = true;
+    view.answered_version = answer.grant_version;
+    view.held = answer.ranges;
+    std::erase_if(view.revoked,
+                  [&](const revocation& revocation) { return revocation.grant_version <= answer.grant_version; });
+    for (const auto& range : answer.ranges) {
+        note_granted(step.state, range.service, {range.first, range.last, view.server.id, range.fence});
+    }
+}
+
+} // namespace
+
+void take_answer(step& step, const grant_answered& answered) {
+    auto& state = step.state;
+    const auto found = state.servers.find(answered.backend_server);
+    if (found == state.servers.end()) {
+        return;
+    }
+    auto& view = found->second;
+    const auto sent = view.pending.find(answered.poll);
+    if (sent == view.pending.end()) {
+        return;
+    }
+    const auto sent_at = sent->second.sent_at;
+    view.pending.erase(sent);
+    if (!answered.answer) {
+        return;
+    }
+    const auto& answer = *answered.answer;
+    const bool newest = take_observations(step, view, answered.poll, answer);
+    if (!answer.accepted || answer.epoch != state.epoch) {
+        view.refused = view.refused || answer.epoch > state.epoch;
+        state.highest_epoch_seen = std::max(state.highest_epoch_seen, answer.epoch);
+        return;
+    }
+    if (answer.uptime >= state.rules.witness_uptime) {
+        view.accepted_at = std::max(view.accepted_at.value_or(sent_at), sent_at);
+    }
+    if (newest) {
+        take_ranges(step, view, answer);
+    }
+}
+
+void send_polls(step& step) {
+    auto& state = step.state;
+    if (state.role == role::candidate) {
+        return;
+    }
+    const bool controls = is_controller(state, step.now);
+    grant_lists lists;
+    if (controls) {
+        for (auto& [id, view] : state.servers) {
+            note_lapse(step, view);
+        }
+        lists = wanted_grants(step);
+    }
+    for (auto& [id, view] : state.servers) {
+        poll_server(step, view, lists, controls);
+    }
+}
+
+void note_granted(state& state, const model::service_id& service, const model::active_range& range) {
+    overlay(state.granted[service], range);
+}
+
+} // namespace lovagetack::ownership
--- /dev/null
+++ b/source/ownership/granting.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "ownership/event.hpp"
+#include "ownership/step.hpp"
+
+/// Grant polls: witnesses, server leases, granted ranges (4.2, 4.3).
+namespace lovagetack::ownership {
+
+/// Takes what the server says; nothing in an answer to a poll of another term counts.
+void take_answer(step& step, const grant_answered& answered);
+
+/// Sends the polls that are due, or that bring a changed list of ranges.
+void send_polls(step& step);
+
+/// Notes that a fence was granted for a range, here or by another controller.
+void note_granted(state& state, const model::service_id& service, const model::active_range& range);
+
+} // namespace lovagetack::ownership
--- /dev/null
+++ b/source/ownership/reduce.cpp
@@ -0,0 +1,81 @@
+#include "ownership/reduce.hpp"
+
+#include "base/json.hpp"
+#include "ownership/activations.hpp"
+#include "ownership/assigning.hpp"
+#include "ownership/election.hpp"
+#include "ownership/granting.hpp"
+#include "ownership/servers.hpp"
+#include "ownership/step.hpp"
+#include "ownership/store.hpp"
+
+namespace lovagetack::ownership {
+namespace {
+
+void learn_load(step& step, const model::fact& fact) {
+    model::load_report report;
+    if (base::from_json_text(fact.value, report)) {
+        step.state.loads[report.instance] = {step.now, std::move(report)};
+    }
+}
+
+void learn_fact(step& step, const model::fact& fact) {
+    switch (fact.kind) {
+    case model::fact_kind::controller:
+    case model::fact_kind::assignment:
+        learn_row_fact(step, fact);
+        return;
+    case model::fact_kind::activation:
+        learn_activation(step, fact);
+        return;
+    case model::fact_kind::load_report:
+        learn_load(step, fact);
+        return;
+    case model::fact_kind::unknown:
+    case model::fact_kind::member:
+    case model::fact_kind::configuration:
+    case model::fact_kind::service_state:
+        return;
+    }
+}
+
+/// Applies what the event says. Decisions follow in decide(), after the authority was checked.
+struct take_event {
+    ownership::step& step;
+
+    void operator()(const model::tick&) const { run_election(step); }
+    void operator()(const model::fact_learned& event) const { learn_fact(step, event.fact); }
+    void operator()(const model::members_changed& event) const { step.state.members = event.members; }
+    void operator()(const model::deployment_changed& event) const {
+        step.state.deployment = event.deployment;
+        follow_deployment(step);
+    }
+    void operator()(const model::service_states_changed& event) const { step.state.service_states = event.states; }
+    void operator()(const model::store_reply& event) const { take_store_reply(step, event); }
+    void operator()(const grant_answered& event) const { take_answer(step, event); }
+    void operator()(const lease_message&) const {}
+    void operator()(const controller_heard& event) const { hear_controller(step, event); }
+};
+
+void decide(step& step) {
+    check_authority(step);
+    send_polls(step);
+    run_store(step);
+    maintain_rows(step);
+    publish_activations(step);
+    publish_routes(step);
+}
+
+} // namespace
+
+effects reduce(state& state, base::boot_time now, std::uint64_t random, const event& input) {
+    effects result;
+    step step{state, now, random, result};
+    observe_pause(step);
+    check_authority(step);
+    std::visit(take_event{step}, input);
+    decide(step);
+    return result;
+}
+
+} // namespace lovagetack::ownership
