stand_ins: add the platform and backend server stand-ins

Cause: the router's integration tests need a platform and backend servers whose own records say what happened. Change: the program lovagetack-stand-ins with the subcommands platform (table service, object store, list of instances, outages, lost answers, history of transactions) and backend (grants, slots, queue, cold start, draining, cancellation, deadlines, execution records), over a small HTTP server on Qt sockets with Boost.Beast's parser.

--- /dev/null
+++ b/tests/stand_ins/backend_server.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <QJsonObject>
+
+#include "base/boot_time.hpp"
+#include "stand_ins/backend_counters.hpp"
+#include "stand_ins/backend_job.hpp"
+#include "stand_ins/backend_settings.hpp"
+#include "stand_ins/cold_start.hpp"
+#include "stand_ins/delayed_calls.hpp"
+#include "stand_ins/execution_record.hpp"
+#include "stand_ins/grant_holder.hpp"
+#include "stand_ins/http_server.hpp"
+#include "stand_ins/lagging_load.hpp"
+
+namespace lovagetack::stand_ins {
+
+/// One backend server on one address. Requests under /lovagetack/ are for routers, those under /control are for tests
+/// (see backend_control), and all others are work.
+///
+/// A request with a lovagetack-key header is checked against the grants when its execution starts, if checks_grants is
+/// set. When it ends, it commits only if the lease held all the time, else it is answered 421 not-run.
+class backend_server {
+public:
+    backend_server(std::string name, const backend_settings& settings);
+
+    [[nodiscard]] base::result<model::address> listen(const model::address& address) { return http_.listen(address); }
+
+    [[nodiscard]] const std::string& name() const { return name_; }
+    [[nodiscard]] const backend_settings& settings() const { return settings_; }
+    [[nodiscard]] const std::vector<execution_record>& records() const { return records_; }
+    [[nodiscard]] backend_counters counters() const;
+
+    /// Takes over the fields of backend_settings that the object has.
+    void change_settings(const QJsonObject& change);
+    void become_cold() { cold_start_ = cold_start(true); }
+    /// Forgets grants, epoch, queue and executions, closes all connections but that of the exchange (may be null), and
+    /// takes a new boot id.
+    void restart(const http_exchange* except);
+
+private:
+    void handle(const exchange_pointer& exchange);
+    void handle_router_call(const exchange_pointer& exchange, std::string_view path);
+    void poll_grant(const exchange_pointer& exchange);
+    void cancel(const exchange_pointer& exchange);
+    void report_health(const exchange_pointer& exchange);
+
+    void accept(const job_pointer& job);
+    void refuse(const job_pointer& job, int status, std::string_view reason);
+    void start_next();
+    void start(const job_pointer& job);
+    [[nodiscard]] bool passes_checks(const job_pointer& job);
+    void execute(const job_pointer& job);
+    void end(const job_pointer& job);
+    void end_with(const job_pointer& job, const http_response& response, bool committed);
+    void forget(const job_pointer& job);
+
+    void record_start(const job_pointer& job);
+    [[nodiscard]] std::chrono::microseconds service_time(const job_pointer& job);
+    [[nodiscard]] std::chrono::microseconds own_clock() const;
+    [[nodiscard]] std::vector<model::range_activity> activity() const;
+    [[nodiscard]] load_state load() const;
+
+    std::string name_;
+    backend_settings settings_;
+    std::int64_t boots_ = 0;
+    base::boot_time started_;
+    grant_holder grants_;
+    cold_start cold_start_;
+    std::mt19937_64 random_;
+    backend_counters counters_;
+    std::deque<job_pointer> queue_;
+    std::vector<job_pointer> executing_;
+    std::vector<execution_record> records_;
+    lagging_load lagging_load_;
+    delayed_calls delayed_;
+    http_server http_;
+};
+
+} // namespace lovagetack::stand_ins
--- /dev/null
+++ b/tests/stand_ins/body_pattern.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lovagetack::stand_ins {
+
+/// Bytes offset to offset + count of the endless pattern of a seed. The period is a prime, so that a lost or repeated
+/// block of a power of two bytes shows, and the start depends on the seed, so that swapped bodies show.
+[[nodiscard]] std::string body_pattern(std::string_view seed, std::uint64_t offset, std::uint64_t count);
+
+} // namespace lovagetack::stand_ins
