requests: route, queue and answer requests

Cause: the router had no decision module for the request path. Change: lookup of service and key, homes by rendezvous hash, relays, slots and ramp at the home, bounded queues, deadlines, retries from a budget, idempotency claims, silent connections, load reports and shutdown. attempt_ended gets answer_body, so that the outcome of a request with an idempotency key can be stored.

--- a/source/requests/event.hpp
+++ b/source/requests/event.hpp
@@ -89,6 +89,8 @@
     /// Outstanding and queued requests at the home of the backend server; -1 if not told.
     std::int32_t queue_at_home = -1;
     std::chrono::microseconds retry_after = std::chrono::microseconds(0);
+    /// Body of a short answer to a request with an idempotency key, kept for repeats; else empty.
+    std::string answer_body;
 
     bool operator==(const attempt_ended&) const = default;
 };
@@ -167,7 +169,8 @@
         make_field("reused_connection", &requests::attempt_ended::reused_connection),
         make_field("can_resend", &requests::attempt_ended::can_resend),
         make_field("queue_at_home", &requests::attempt_ended::queue_at_home),
-        make_field("retry_after", &requests::attempt_ended::retry_after));
+        make_field("retry_after", &requests::attempt_ended::retry_after),
+        make_field("answer_body", &requests::attempt_ended::answer_body));
 };
 
 template <>
--- /dev/null
+++ b/source/requests/ramp.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/boot_time.hpp"
+
+namespace lovagetack::requests {
+
+/// Limits of concurrency and rate for a backend server that may be cold.
+class ramp {
+public:
+    /// Starts anew with one slot and the first rate.
+    void reset(base::boot_time now);
+    /// Ends the limit at once, for a server known to be warm.
+    void lift() { limited_ = false; }
+
+    [[nodiscard]] bool limited() const { return limited_; }
+    /// Slots allowed out of those that the server has.
+    [[nodiscard]] std::int32_t slots(std::int32_t configured) const;
+    /// Requests per second; 0 without limit.
+    [[nodiscard]] std::int32_t rate() const { return limited_ ? rate_ : 0; }
+
+    /// True when the rate allows one more request now.
+    [[nodiscard]] bool allows(base::boot_time now) const;
+    /// Counts a request sent; call only when allows() is true.
+    void count_sent(base::boot_time now);
+    /// Counts an answer: after enough good ones in a row the limits rise.
+    void count_answer(bool good, std::int32_t configured_slots);
+
+private:
+    [[nodiscard]] double tokens_at(base::boot_time now) const;
+
+    bool limited_ = true;
+    std::int32_t allowed_slots_ = 1;
+    std::int32_t rate_ = 20;
+    std::int32_t good_in_a_row_ = 0;
+    double tokens_ = 1.0;
+    base::boot_time counted_at_;
+};
+
+} // namespace lovagetack::requests
--- /dev/null
+++ b/source/requests/reduce.cpp
@@ -0,0 +1,89 @@
+#include "requests/reduce.hpp"
+
+#include "requests/attempts.hpp"
+#include "requests/claims.hpp"
+#include "requests/context.hpp"
+#include "requests/finish.hpp"
+#include "requests/placement.hpp"
+#include "requests/queue.hpp"
+#include "requests/reports.hpp"
+#include "requests/silence.hpp"
+#include "requests/topology.hpp"
+
+namespace lovagetack::requests {
+
+namespace {
+
+void on_tick(context& ctx) {
+    release_due_slots(ctx);
+    settle_new_homes(ctx);
+    update_medians(ctx);
+    publish_report(ctx);
+    // The rate of a ramped server and an expired home lease let queues on or hold them as time passes.
+    for (const auto& id : ctx.state.queued_servers) {
+        ctx.state.touched.push_back(id);
+    }
+}
+
+struct dispatcher {
+    context& ctx;
+
+    void operator()(const model::tick& /*received*/) const { on_tick(ctx); }
+    void operator()(const caller_request& received) const { admit(ctx, received); }
+    void operator()(const attempt_sending& received) const { on_attempt_sending(ctx, received); }
+    void operator()(const attempt_answering& received) const { on_attempt_answering(ctx, received); }
+    void operator()(const attempt_ended& received) const { on_attempt_ended(ctx, received); }
+    void operator()(const caller_left& received) const { on_caller_left(ctx, received); }
+    void operator()(const connection_probed& received) const { on_connection_probed(ctx, received); }
+    void operator()(const backend_server_observed& received) const { on_backend_server_observed(ctx, received); }
+    /// Facts of interest come as events of their modules.
+    void operator()(const model::fact_learned& /*received*/) const {}
+    void operator()(const model::members_changed& received) const { on_members_changed(ctx, received); }
+    void operator()(const model::deployment_changed& received) const { on_deployment_changed(ctx, received); }
+    void operator()(const model::service_states_changed& received) const { on_service_states_changed(ctx, received); }
+    void operator()(const model::routes_changed& received) const { on_routes_changed(ctx, received); }
+    void operator()(const model::home_leases_changed& received) const { on_home_leases_changed(ctx, received); }
+    void operator()(const model::store_reply& received) const { on_store_reply(ctx, received); }
+    void operator()(const model::shutdown_started& /*received*/) const { ctx.state.shutting_down = true; }
+};
+
+void run_timer(context& ctx, exchange& exchange, timer_kind kind) {
+    switch (kind) {
+    case timer_kind::deadline:
+        on_deadline(ctx, exchange);
+        return;
+    case timer_kind::wake:
+        exchange.wake_at.reset();
+        on_wake(ctx, exchange);
+        return;
+    case timer_kind::silence:
+        exchange.silence_at.reset();
+        on_silence(ctx, exchange);
+        return;
+    }
+}
+
+void run_due_timers(context& ctx) {
+    auto& timers = ctx.state.timers;
+    while (!timers.empty() && std::get<base::boot_time>(*timers.begin()) <= ctx.now) {
+        const auto [at, id, kind] = *timers.begin();
+        timers.erase(timers.begin());
+        if (auto* exchange = ctx.find_exchange(id)) {
+            run_timer(ctx, *exchange, kind);
+        }
+    }
+}
+
+} // namespace
+
+effects reduce(state& state, base::boot_time now, std::uint64_t random, const event& received) {
+    context ctx(state, now, random);
+    std::visit(dispatcher{ctx}, received);
+    // After the event: an answer that came in time counts even when its timer is due as well.
+    run_due_timers(ctx);
+    run_touched_queues(ctx);
+    send_claim_batches(ctx);
+    return std::move(ctx.effects);
+}
+
+} // namespace lovagetack::requests
--- /dev/null
+++ b/source/requests/reduce.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "base/boot_time.hpp"
+#include "requests/effect.hpp"
+#include "requests/event.hpp"
+#include "requests/state.hpp"
+
+namespace lovagetack::requests {
+
+using effects = std::vector<effect>;
+
+/// Applies one event; the effects are to be carried out in their order. The shell has to deliver attempt_sending
+/// before any later event once a byte was handed over, since "not run" rests on it. No attempt_ended is needed after
+/// cancel_attempt.
+[[nodiscard]] effects reduce(state& state, base::boot_time now, std::uint64_t random, const event& received);
+
+} // namespace lovagetack::requests
--- /dev/null
+++ b/source/requests/silence.cpp
@@ -0,0 +1,133 @@
+#include "requests/silence.hpp"
+
+#include <algorithm>
+#include <vector>
+
+#include "requests/attempts.hpp"
+#include "requests/choice.hpp"
+#include "requests/finish.hpp"
+#include "requests/placement.hpp"
+
+namespace lovagetack::requests {
+
+namespace {
+
+using base::result_code;
+
+bool can_send_again(const exchange& exchange) {
+    return exchange.request.idempotent && exchange.request.body_bytes <= resend_body_bytes;
+}
+
+/// Drops the silent attempt and sends the request on a new connection, if the retry budget allows it.
+void send_again(context& ctx, exchange& exchange, service_record& service) {
+    if (!service.retries.take()) {
+        return;
+    }
+    stop_attempt(ctx, exchange);
+    exchange.fresh_connection = true;
+    place(ctx, exchange);
+}
+
+void replace_connection(context& ctx, exchange& exchange) {
+    auto* service = ctx.service(exchange.request.service);
+    if (service == nullptr || !exchange.sending || exchange.answering) {
+        return;
+    }
+    if (can_send_again(exchange)) {
+        send_again(ctx, exchange, *service);
+        return;
+    }
+    // An idempotent request with a long body cannot be sent again; its attempt goes on until the deadline.
+    if (exchange.request.idempotent) {
+        return;
+    }
+    stop_attempt(ctx, exchange);
+    answer(ctx, exchange,
+           {504, result_code::request_connection_silent, outcome::unknown, {}, "the connection went silent"});
+}
+
+/// Requests sent to the backend server itself that have had no answer for the limit.
+std::vector<exchange_id> silent_requests(context& ctx, const server_record& server, std::chrono::microseconds limit) {
+    std::vector<exchange_id> silent;
+    for (const auto& [started, id] : server.unanswered) {
+        const auto* exchange = ctx.find_exchange(id);
+        if (exchange != nullptr && exchange->relay_to.empty() && started + limit <= ctx.now) {
+            silent.push_back(id);
+        }
+    }
+    return silent;
+}
+
+void move_if_owner_changed(context& ctx, service_record& service, exchange_id id) {
+    auto* exchange = ctx.find_exchange(id);
+    if (exchange == nullptr || !can_send_again(*exchange) || exchange->answering) {
+        return;
+    }
+    const auto* range = range_of(service, *exchange);
+    if (range != nullptr && range->owner != exchange->target) {
+        send_again(ctx, *exchange, service);
+    }
+}
+
+} // namespace
+
+std::chrono::microseconds silence_limit(const service_record& service, bool relay) {
+    if (!relay) {
+        return std::max(minimum_silence, service.latency.percentile_99() * silence_factor);
+    }
+    // The home instance probes the backend server first, so its own connection is doubted later.
+    const auto latency = std::max(service.latency.percentile_99(), service.relay_latency.percentile_99());
+    return 2 * std::max(minimum_silence, latency * silence_factor);
+}
+
+void on_silence(context& ctx, exchange& exchange) {
+    auto* service = ctx.service(exchange.request.service);
+    auto* server = ctx.server(exchange.target);
+    if (service == nullptr || server == nullptr || exchange.phase != exchange_phase::in_flight) {
+        return;
+    }
+    const bool relay = !exchange.relay_to.empty();
+    set_timer(ctx, exchange.id, timer_kind::silence, exchange.silence_at, ctx.now + silence_limit(*service, relay));
+    if (relay) {
+        if (exchange.sending && can_send_again(exchange)) {
+            send_again(ctx, exchange, *service);
+        }
+        return;
+    }
+    if (exchange.sending && server->probing_until <= ctx.now) {
+        server->probing_until = ctx.now + probe_time;
+        ctx.emit(probe_connection{server->configuration.id, server->configuration.address});
+    }
+}
+
+void on_connection_probed(context& ctx, const connection_probed& received) {
+    auto* server = ctx.server(received.backend_server);
+    if (server == nullptr) {
+        return;
+    }
+    server->probing_until = ctx.now;
+    const auto* service = ctx.service(server->configuration.service);
+    if (!received.reachable || service == nullptr) {
+        return;
+    }
+    for (const auto id : silent_requests(ctx, *server, silence_limit(*service, false))) {
+        if (auto* exchange = ctx.find_exchange(id)) {
+            replace_connection(ctx, *exchange);
+        }
+    }
+}
+
+void move_silent_requests(context& ctx, service_record& service) {
+    const auto limit = silence_limit(service, false);
+    for (const auto& id : service.servers) {
+        const auto* server = ctx.server(id);
+        if (server == nullptr || server->unanswered.empty()) {
+            continue;
+        }
+        for (const auto silent : silent_requests(ctx, *server, limit)) {
+            move_if_owner_changed(ctx, service, silent);
+        }
+    }
+}
+
+} // namespace lovagetack::requests
