--- a/source/service/instance.hpp
+++ b/source/service/instance.hpp
@@ -44,7 +44,6 @@
 
     void post(core::event_body body);
     void process(core::event_body body);
-    void tick();
     void poll_homes();
 
     void carry_out(const model::send_peer_message& effect);
@@ -65,8 +64,6 @@
     [[nodiscard]] std::string timeline_text(std::uint64_t after) const override;
     void order(const model::service_state& state) override;
 
-    void update_gauges();
-
     settings::instance_settings settings_;
     core::identity identity_;
     core::state state_;
@@ -79,7 +76,6 @@
     std::deque<core::event_body> pending_;
     bool processing_ = false;
     bool shutting_down_ = false;
-    std::function<void()> stopped_;
 
     std::unique_ptr<platform::store_client> store_;
     std::unique_ptr<platform::grant_client> grants_;
