requests: test promises over random sequences

Cause: single-case tests cannot show that no request is lost or answered twice. Change: a fake shell carries out effects with random outcomes and checks slots, repeated attempts and told outcomes at each event; afterwards the state has to be empty.

--- /dev/null
+++ b/tests/requests/sequence_test.cpp
@@ -0,0 +1,46 @@
+#include "fake_shell.hpp"
+
+namespace lovagetack::requests::testing {
+namespace {
+
+// Guards against slots exceeded, a non-idempotent request sent again, "not run" told wrongly (all checked by the fake
+// shell after each event), a request without exactly one end, and anything left behind by a request that is over.
+TEST_CASE("promises hold over long random sequences") {
+    const auto seed = GENERATE(range(1, 9));
+    CAPTURE(seed);
+    fake_shell shell(static_cast<std::uint64_t>(seed));
+    shell.run(20'000);
+    shell.settle();
+
+    CHECK(shell.requests > 4000);
+    CHECK(shell.answered + shell.completed + shell.left == shell.requests);
+    // The sequence has to reach the interesting paths to prove anything.
+    CHECK(shell.completed > shell.requests / 10);
+    CHECK(shell.started > shell.completed);
+    CHECK(shell.codes.size() >= 8);
+
+    const auto& state = shell.world.state;
+    CHECK(requests_in_flight(state) == 0);
+    CHECK(state.timers.empty());
+    CHECK(state.held.empty());
+    CHECK(state.queued_servers.empty());
+    CHECK(state.claims.rows.empty());
+    CHECK(state.claims.waiting.empty());
+    CHECK(state.claims.changes.empty());
+    CHECK(state.claims.transactions.empty());
+    CHECK(state.claims.reads.empty());
+    CHECK(state.claims.deletions.empty());
+    for (const auto& [id, service] : state.services) {
+        CHECK(service.waiting.empty());
+    }
+    for (const auto& [id, server] : state.servers) {
+        CHECK(server.outstanding == 0);
+        CHECK(server.held == 0);
+        CHECK(server.relayed == 0);
+        CHECK(server.queue.empty());
+        CHECK(server.unanswered.empty());
+    }
+}
+
+} // namespace
+} // namespace lovagetack::requests::testing
