http, service: add the transport of the request path

There was no way for a request to reach a backend server. http::server and http::client_connection parse with Boost.Beast over Qt sockets, and service::request_executor turns requests into events and carries out effects. Nothing was measured. Small requests and error answers are tested; limits, streaming and faults are written but not tested yet.

--- /dev/null
+++ b/source/http/connection_pool.cpp
@@ -0,0 +1,138 @@
+#include "http/connection_pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagetack::http {
+
+connection_pool::connection_pool(model::address address, std::size_t limit)
+    : address_(std::move(address)), limit_(limit) {}
+
+connection_pool::~connection_pool() {
+    for (const auto& [pointer, connection] : connections_) {
+        connection->abort();
+    }
+}
+
+void connection_pool::acquire(waiter& waiting, bool fresh) {
+    if (!fresh && waiters_.empty() && !idle_.empty()) {
+        const auto connection = std::move(idle_.back());
+        idle_.pop_back();
+        waiting.connection_ready(connection);
+        return;
+    }
+    waiters_.push_back({&waiting, fresh});
+    open_needed();
+}
+
+void connection_pool::forget(waiter& waiting) {
+    std::erase_if(waiters_, [&waiting](const entry& item) { return item.waiting == &waiting; });
+}
+
+void connection_pool::release(const std::shared_ptr<client_connection>& connection) {
+    if (!connection->is_idle() || connections_.size() > limit_) {
+        connection->abort();
+        remove(*connection);
+        open_needed();
+        return;
+    }
+    if (!hand_over(connection, false)) {
+        idle_.push_back(connection);
+        open_needed();
+    }
+}
+
+bool connection_pool::hand_over(const std::shared_ptr<client_connection>& connection, bool fresh) {
+    const auto found =
+        std::find_if(waiters_.begin(), waiters_.end(), [fresh](const entry& item) { return fresh || !item.fresh; });
+    if (found == waiters_.end()) {
+        return false;
+    }
+    waiter* const waiting = found->waiting;
+    waiters_.erase(found);
+    waiting->connection_ready(connection);
+    return true;
+}
+
+void connection_pool::opened(client_connection& connection) {
+    --opening_;
+    const auto shared = connection.shared_from_this();
+    if (!hand_over(shared, true)) {
+        idle_.push_back(shared);
+    }
+}
+
+void connection_pool::ended(client_connection& connection) {
+    const auto shared = connection.shared_from_this();
+    const bool was_idle = std::erase(idle_, shared) > 0;
+    remove(connection);
+    if (!was_idle) {
+        --opening_;
+        fail_first();
+    }
+    open_needed();
+}
+
+void connection_pool::remove(client_connection& connection) {
+    connections_.erase(&connection);
+}
+
+void connection_pool::fail_first() {
+    if (waiters_.empty()) {
+        return;
+    }
+    waiter* const waiting = waiters_.front().waiting;
+    waiters_.pop_front();
+    waiting->connection_failed();
+}
+
+void connection_pool::open_needed() {
+    while (opening_ < waiters_.size()) {
+        const bool fresh_wanted =
+            std::any_of(waiters_.begin(), waiters_.end(), [](const entry& item) { return item.fresh; });
+        if (connections_.size() >= limit_ && !(fresh_wanted && close_one_idle())) {
+            return;
+        }
+        const auto connection = std::make_shared<client_connection>(
+            address_, client_connection::owner{[this](client_connection& open) { opened(open); },
+                                               [this](client_connection& closed) { ended(closed); }});
+        connections_.emplace(connection.get(), connection);
+        ++opening_;
+    }
+}
+
+bool connection_pool::close_one_idle() {
+    if (idle_.empty()) {
+        return false;
+    }
+    const auto oldest = idle_.front();
+    idle_.erase(idle_.begin());
+    oldest->abort();
+    remove(*oldest);
+    return true;
+}
+
+void connection_pool::set_limit(std::size_t limit) {
+    limit_ = limit;
+    while (connections_.size() > limit_ && close_one_idle()) {
+    }
+    open_needed();
+}
+
+void connection_pool::check_times(client_connection::clock::time_point now) {
+    while (!idle_.empty() && now - idle_.front()->since() > idle_time) {
+        close_one_idle();
+    }
+    std::vector<std::shared_ptr<client_connection>> late;
+    for (const auto& [pointer, connection] : connections_) {
+        if (connection->is_opening() && now - connection->since() > open_time) {
+            late.push_back(connection);
+        }
+    }
+    for (const auto& connection : late) {
+        connection->abort();
+        ended(*connection);
+    }
+}
+
+} // namespace lovagetack::http
--- /dev/null
+++ b/source/http/server.cpp
@@ -0,0 +1,102 @@
+#include "http/server.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include <QHostAddress>
+#include <QNetworkProxy>
+#include <QTcpSocket>
+
+namespace lovagetack::http {
+namespace {
+
+/// Callers that may wait in the kernel while the event loop is busy.
+constexpr int backlog = 1024;
+/// Connections above the limit that are told so at the same time; further ones are dropped.
+constexpr std::size_t refused_at_once = 64;
+constexpr auto check_period = std::chrono::milliseconds(100);
+
+} // namespace
+
+server::server(server_connection::handler& requests, const server_limits& limits)
+    : handler_(requests), limits_(limits) {
+    listener_.setProxy(QNetworkProxy(QNetworkProxy::NoProxy));
+    listener_.setListenBacklogSize(backlog);
+    listener_.setMaxPendingConnections(backlog);
+    QObject::connect(&listener_, &QTcpServer::newConnection, &listener_, [this] { accept_waiting(); });
+    QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { check_times(); });
+    timer_.start(check_period);
+}
+
+server::~server() {
+    stopped_ = nullptr;
+    const auto connections = connections_;
+    for (const auto& [pointer, connection] : connections) {
+        connection->abort();
+    }
+}
+
+base::result<void> server::listen(const model::address& address) {
+    if (!listener_.listen(QHostAddress(QString::fromStdString(address.host)), address.port)) {
+        return base::failure(base::result_code::address_in_use, "cannot listen on " + address.host + ":" +
+                                                                    std::to_string(address.port) + ": " +
+                                                                    listener_.errorString().toStdString());
+    }
+    return base::success();
+}
+
+std::uint16_t server::port() const {
+    return listener_.serverPort();
+}
+
+void server::accept_waiting() {
+    while (QTcpSocket* socket = listener_.nextPendingConnection()) {
+        if (connections_.size() >= limits_.connections + refused_at_once) {
+            socket->abort();
+            socket->deleteLater();
+            continue;
+        }
+        const bool too_many = connections_.size() >= limits_.connections;
+        const auto connection =
+            std::make_shared<server_connection>(socket, handler_, limits_, [this](server_connection& closed) {
+                connections_.erase(&closed);
+                report_stopped();
+            });
+        connections_.emplace(connection.get(), connection);
+        if (too_many) {
+            connection->refuse_connection();
+        }
+    }
+}
+
+void server::check_times() {
+    const auto now = server_connection::clock::now();
+    std::vector<std::shared_ptr<server_connection>> connections;
+    connections.reserve(connections_.size());
+    std::transform(connections_.begin(), connections_.end(), std::back_inserter(connections),
+                   [](const auto& entry) { return entry.second; });
+    for (const auto& connection : connections) {
+        connection->check_time(now);
+    }
+}
+
+void server::stop(std::function<void()> stopped) {
+    listener_.close();
+    stopping_ = true;
+    stopped_ = std::move(stopped);
+    for (const auto& [pointer, connection] : connections_) {
+        connection->finish();
+    }
+    report_stopped();
+}
+
+void server::report_stopped() {
+    if (!stopping_ || !stopped_ || !connections_.empty()) {
+        return;
+    }
+    QMetaObject::invokeMethod(&listener_, std::exchange(stopped_, nullptr), Qt::QueuedConnection);
+}
+
+} // namespace lovagetack::http
--- /dev/null
+++ b/source/http/server.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include <QTcpServer>
+#include <QTimer>
+
+#include "base/result.hpp"
+#include "http/server_connection.hpp"
+#include "http/server_limits.hpp"
+#include "model/address.hpp"
+
+namespace lovagetack::http {
+
+/// Listens for callers and owns their connections.
+class server {
+public:
+    /// The handler must live longer than the server.
+    server(server_connection::handler& requests, const server_limits& limits);
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+    ~server();
+
+    /// Port 0 takes a free one. Fails with address_in_use.
+    base::result<void> listen(const model::address& address);
+    [[nodiscard]] std::uint16_t port() const;
+    [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+
+    /// Stops listening, lets every open request end, then calls the function from the event loop.
+    void stop(std::function<void()> stopped);
+
+private:
+    void accept_waiting();
+    void check_times();
+    void report_stopped();
+
+    server_connection::handler& handler_;
+    server_limits limits_;
+    QTcpServer listener_;
+    QTimer timer_;
+    std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
+    std::function<void()> stopped_;
+    bool stopping_ = false;
+};
+
+} // namespace lovagetack::http
--- /dev/null
+++ b/source/http/server_connection.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/result_code.hpp"
+#include "http/header_rules.hpp"
+#include "http/message_reader.hpp"
+#include "http/server_limits.hpp"
+#include "http/socket_stream.hpp"
+
+class QTcpSocket;
+
+namespace lovagetack::http {
+
+/// One connection of a caller. Requests are handled one at a time, in order; a pipelined request waits unread.
+///
+/// An answer is written with start_answer, answer_body and end_answer (or answer_error), which collect output until
+/// flush. A request whose answer ends before its body was received closes the connection after the answer.
+class server_connection : public std::enable_shared_from_this<server_connection>, private socket_stream::observer {
+public:
+    using clock = std::chrono::steady_clock;
+    using request = message_reader<true>::message_type;
+
+    /// Receives the requests of all connections of a server.
+    class handler {
+    public:
+        handler() = default;
+        handler(const handler&) = delete;
+        handler& operator=(const handler&) = delete;
+        virtual ~handler() = default;
+
+        virtual void request_started(server_connection& connection) = 0;
+        /// May be called with several parts; the bytes are valid during the call only.
+        virtual void request_body(server_connection& connection, std::string_view bytes) = 0;
+        virtual void request_body_ended(server_connection& connection) = 0;
+        /// The caller took most of what was written.
+        virtual void answer_writable(server_connection& connection) = 0;
+        /// The connection ended while a request was open; its answer can go nowhere.
+        virtual void caller_left(server_connection& connection) = 0;
+    };
+
+    server_connection(QTcpSocket* socket, handler& requests, const server_limits& limits,
+                      std::function<void(server_connection&)> on_closed);
+    server_connection(const server_connection&) = delete;
+    server_connection& operator=(const server_connection&) = delete;
+    ~server_connection() override = default;
+
+    /// The open request; valid from request_started to the end of its answer.
+    [[nodiscard]] const request& message() const { return reader_.message(); }
+    [[nodiscard]] body_framing request_framing() const { return framing_; }
+    /// Declared length of the request body; 0 if it has none or the length is not declared.
+    [[nodiscard]] std::uint64_t request_length() const { return declared_length_; }
+    [[nodiscard]] bool request_complete() const { return request_complete_; }
+
+    /// Free for the user of the connection: the number of the open request.
+    void set_tag(std::uint64_t tag) { tag_ = tag; }
+    [[nodiscard]] std::uint64_t tag() const { return tag_; }
+
+    void limit_body(std::uint64_t bytes) { body_limit_ = std::min(body_limit_, bytes); }
+    void pause_body() { body_paused_ = true; }
+    void resume_body();
+    /// Answers `Expect: 100-continue` if the caller waits for it.
+    void send_continue();
+
+    /// `lines` are header fields that each end with CR LF. For a HEAD request, framing describes what GET would give.
+    void start_answer(int status, std::string_view reason, std::string_view lines, body_framing framing,
+                      std::uint64_t length);
+    void answer_body(std::string_view bytes);
+    void end_answer();
+    /// A whole answer made here, with a JSON body.
+    void answer_error(int status, base::result_code code, std::string_view message, std::string_view lines);
+    void flush();
+
+    [[nodiscard]] bool answer_started() const { return answer_started_; }
+    /// Bytes of the answer that the caller's machine has not taken yet.
+    [[nodiscard]] std::size_t unsent() const { return output_.size() + stream_.unsent(); }
+
+    /// Drops the connection at once; the handler is not called any more.
+    void abort();
+
+    /// The open request is the last one; a connection without one closes when it has been idle for stop_grace.
+    void finish();
+    /// Refuses a connection above the limit of the server.
+    void refuse_connection();
+    /// Enforces the time limits.
+    void check_time(clock::time_point now);
+
+private:
+    enum class phase : std::uint8_t { waiting, header, body, answering, lingering, closed };
+
+    void stream_readable() override;
+    void stream_writable() override;
+    void stream_closed() override;
+
+    void process();
+    bool step();
+    bool step_waiting();
+    bool step_header();
+    bool step_body();
+    void accept_header();
+    void reject(int status, base::result_code code, std::string_view message);
+    void fail_body(int status, base::result_code code, std::string_view message);
+    void end_request_body();
+    void next_request();
+    void linger();
+    void end_connection();
+    [[nodiscard]] bool request_open() const;
+
+    handler& handler_;
+    const server_limits& limits_;
+    std::function<void(server_connection&)> on_closed_;
+    message_reader<true> reader_;
+    std::string output_;
+    std::uint64_t tag_ = 0;
+    std::uint64_t declared_length_ = 0;
+    std::uint64_t body_received_ = 0;
+    std::uint64_t body_limit_ = 0;
+    std::size_t discarded_ = 0;
+    std::uint64_t last_sent_ = 0;
+    clock::time_point since_ = clock::now();
+    phase phase_ = phase::waiting;
+    body_framing framing_ = body_framing::none;
+    body_framing answer_framing_ = body_framing::none;
+    bool request_complete_ = false;
+    bool body_paused_ = false;
+    bool expects_continue_ = false;
+    bool keep_alive_ = false;
+    bool old_version_ = false;
+    bool head_request_ = false;
+    bool answer_started_ = false;
+    bool finishing_ = false;
+    socket_stream stream_;
+};
+
+} // namespace lovagetack::http
--- /dev/null
+++ b/source/http/socket_stream.cpp
@@ -0,0 +1,155 @@
+#include "http/socket_stream.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <sys/socket.h>
+
+#include <QHostAddress>
+#include <QNetworkProxy>
+
+namespace lovagetack::http {
+namespace {
+
+/// Bytes moved to the parse buffer at once.
+constexpr qint64 fetch_bytes = qint64(16) * 1024;
+
+class call_guard {
+public:
+    explicit call_guard(bool& flag) : flag_(flag), before_(std::exchange(flag, true)) {}
+    call_guard(const call_guard&) = delete;
+    call_guard& operator=(const call_guard&) = delete;
+    ~call_guard() { flag_ = before_; }
+
+private:
+    bool& flag_;
+    bool before_;
+};
+
+} // namespace
+
+socket_stream::socket_stream(QTcpSocket* socket, observer& watcher) : observer_(watcher), socket_(socket) {
+    socket_->setParent(nullptr);
+    socket_->setProxy(QNetworkProxy(QNetworkProxy::NoProxy));
+    socket_->setReadBufferSize(static_cast<qint64>(stream_buffer_bytes));
+    socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    watch_signals();
+}
+
+socket_stream::~socket_stream() {
+    QObject::disconnect(socket_.get(), nullptr, &context_, nullptr);
+    socket_->abort();
+}
+
+void socket_stream::watch_signals() {
+    QObject::connect(socket_.get(), &QTcpSocket::connected, &context_, [this] {
+        socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+        observer_.stream_connected();
+    });
+    QObject::connect(socket_.get(), &QTcpSocket::readyRead, &context_, [this] {
+        if (!in_call_) {
+            observer_.stream_readable();
+            return;
+        }
+        post([this] { observer_.stream_readable(); });
+    });
+    QObject::connect(socket_.get(), &QTcpSocket::bytesWritten, &context_, [this] {
+        if (!in_call_ && unsent() < stream_buffer_bytes / 2) {
+            observer_.stream_writable();
+        }
+    });
+    QObject::connect(socket_.get(), &QTcpSocket::disconnected, &context_, [this] { note_end(true); });
+    QObject::connect(socket_.get(), &QTcpSocket::errorOccurred, &context_, [this](QAbstractSocket::SocketError error) {
+        if (error != QAbstractSocket::RemoteHostClosedError) {
+            note_end(false);
+        }
+    });
+}
+
+void socket_stream::note_end(bool by_peer) {
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    closed_by_peer_ = by_peer;
+    // A handler that runs inside a call of its own would find its state half changed, hence the detour.
+    if (in_call_) {
+        post([this] { observer_.stream_closed(); });
+        return;
+    }
+    observer_.stream_closed();
+}
+
+void socket_stream::connect_to(const model::address& address) {
+    const call_guard guard(in_call_);
+    const QString host = QString::fromStdString(address.host);
+    const QHostAddress parsed(host);
+    if (parsed.isNull()) {
+        socket_->connectToHost(host, address.port);
+        return;
+    }
+    socket_->connectToHost(parsed, address.port);
+}
+
+bool socket_stream::fetch() {
+    const call_guard guard(in_call_);
+    const qint64 size = std::min(socket_->bytesAvailable(), fetch_bytes);
+    if (size <= 0) {
+        return false;
+    }
+    const auto space = input_.prepare(static_cast<std::size_t>(size));
+    const qint64 read = socket_->read(static_cast<char*>(space.data()), size);
+    if (read <= 0) {
+        return false;
+    }
+    input_.commit(static_cast<std::size_t>(read));
+    return true;
+}
+
+bool socket_stream::has_received() const {
+    return input_.size() > 0 || socket_->bytesAvailable() > 0;
+}
+
+void socket_stream::write(std::string_view bytes) {
+    if (closed_ || bytes.empty()) {
+        return;
+    }
+    const call_guard guard(in_call_);
+    written_ += bytes.size();
+    socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
+    // Without this the bytes would wait for the next turn of the event loop.
+    socket_->flush();
+}
+
+std::size_t socket_stream::unsent() const {
+    return closed_ ? 0 : static_cast<std::size_t>(socket_->bytesToWrite());
+}
+
+void socket_stream::post(std::function<void()> function) {
+    QMetaObject::invokeMethod(&context_, std::move(function), Qt::QueuedConnection);
+}
+
+void socket_stream::shut_down_sending() {
+    if (!closed_) {
+        ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
+    }
+}
+
+void socket_stream::close() {
+    const call_guard guard(in_call_);
+    socket_->disconnectFromHost();
+}
+
+void socket_stream::abort() {
+    const call_guard guard(in_call_);
+    const auto descriptor = static_cast<int>(socket_->socketDescriptor());
+    if (descriptor >= 0) {
+        const linger reset{1, 0};
+        ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    closed_ = true;
+    QObject::disconnect(socket_.get(), nullptr, &context_, nullptr);
+    socket_->abort();
+}
+
+} // namespace lovagetack::http
