requests: report homes and silent connections on the time line

Cause: a change of home or a replaced connection left no trace, and a backend server whose address changed had its connections closed at the new address. Change: time line entries; the old address is told first; random sequences contain silent connections.

--- a/source/requests/silence.cpp
+++ b/source/requests/silence.cpp
@@ -110,7 +110,13 @@
     if (!received.reachable || service == nullptr) {
         return;
     }
-    for (const auto id : silent_requests(ctx, *server, silence_limit(*service, false))) {
+    const auto silent = silent_requests(ctx, *server, silence_limit(*service, false));
+    if (!silent.empty()) {
+        ctx.emit(model::timeline_entry{
+            "silent_connections_replaced",
+            {{"backend_server", server->configuration.id.value()}, {"requests", std::to_string(silent.size())}}});
+    }
+    for (const auto id : silent) {
         if (auto* exchange = ctx.find_exchange(id)) {
             replace_connection(ctx, *exchange);
         }
--- a/source/requests/topology.cpp
+++ b/source/requests/topology.cpp
@@ -47,6 +47,7 @@
 
 void become_home(context& ctx, server_record& server) {
     server.home_since = ctx.now;
+    ctx.emit(model::timeline_entry{"home_gained", {{"backend_server", server.configuration.id.value()}}});
     ctx.state.new_homes.insert(server.configuration.id);
     tell_connections(ctx, server, std::max(1, server.configuration.connections / 2));
     // The former home has seen more of the server than this instance: what is known here may be outdated.
@@ -59,6 +60,8 @@
 
 void lose_home(context& ctx, server_record& server) {
     ctx.state.new_homes.erase(server.configuration.id);
+    ctx.emit(model::timeline_entry{
+        "home_lost", {{"backend_server", server.configuration.id.value()}, {"home", server.home.value()}}});
     tell_connections(ctx, server, 0);
     touch(ctx, server);
 }
@@ -139,14 +142,14 @@
     auto& server = ctx.state.servers[configuration.id];
     const bool connections_changed = server.configuration.address != configuration.address ||
                                      server.configuration.connections != configuration.connections;
-    const bool told = server.connections_told > 0;
-    server.configuration = configuration;
-    server.configured = true;
-    ctx.state.services[configuration.service].servers.push_back(configuration.id);
-    if (connections_changed && told) {
+    // Home is taken anew below, which tells the new limit for the new address.
+    if (connections_changed && server.connections_told > 0) {
         tell_connections(ctx, server, 0);
         server.home = {};
     }
+    server.configuration = configuration;
+    server.configured = true;
+    ctx.state.services[configuration.service].servers.push_back(configuration.id);
 }
 
 void remove_idle_servers(state& state) {
--- a/tests/requests/fake_shell.hpp
+++ b/tests/requests/fake_shell.hpp
@@ -132,6 +132,10 @@
         }
         const auto id = any_attempt();
         auto& attempt = attempts_.at(id);
+        const bool silent = id.value() % 20 == 0;
+        if (silent && attempt.sending) {
+            return;
+        }
         if (!attempt.sending && pick(4) != 0) {
             attempt.sending = true;
             apply(attempt_sending{attempt.effect.exchange, id});
