--- a/source/service/instance.cpp
+++ b/source/service/instance.cpp
@@ -73,20 +73,19 @@
 base::result<void> instance::start() {
     store_ = std::make_unique<platform::store_client>(
         settings_.platform, platform::store_client::default_timeout,
-        [this](const model::store_reply& reply) { post(reply); },
-        [this](const membership::instances_listed& listed) { post(listed); });
+        [this](const model::store_reply& reply) { post_in_order(reply); },
+        [this](const membership::instances_listed& listed) { post_in_order(listed); });
     grants_ = std::make_unique<platform::grant_client>(
-        platform::grant_limits{}, [this](const ownership::grant_answered& answered) { post(answered); });
-    load_poller_ =
-        std::make_unique<load_poller>([this](const requests::backend_server_observed& observed) { post(observed); });
+        platform::grant_limits{}, [this](const ownership::grant_answered& answered) { post_in_order(answered); });
+    load_poller_ = std::make_unique<load_poller>(
+        [this](const requests::backend_server_observed& observed) { post_in_order(observed); });
     BOOST_OUTCOME_TRY(transport,
-                      peers::peer_transport::create({identity_.self.id, identity_.self.incarnation, settings_.peers},
-                                                    peers::peer_limits{},
-                                                    [this](const model::peer_message& message) { post(message); }));
+                      peers::peer_transport::create(
+                          {identity_.self.id, identity_.self.incarnation, settings_.peers}, peers::peer_limits{},
+                          [this](const model::peer_message& message) { post_in_order(message); }));
     peers_ = std::move(transport);
 
     request_executor::settings executor_settings{.instance = identity_.self.id};
-    executor_settings.limits.header_bytes = settings_.limits.header_bytes;
     executor_settings.limits.connections = static_cast<std::size_t>(settings_.limits.connections);
     executor_settings.limits.header_time = settings_.limits.header_time;
     executor_settings.limits.idle_time = settings_.limits.idle_time;
@@ -122,7 +121,7 @@
 
 void instance::start_timers() {
     tick_timer_.setTimerType(Qt::PreciseTimer);
-    QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_, [this] { post(model::tick{}); });
+    QObject::connect(&tick_timer_, &QTimer::timeout, &tick_timer_, [this] { post_in_order(model::tick{}); });
     tick_timer_.start(tick_interval);
     QObject::connect(&home_timer_, &QTimer::timeout, &home_timer_, [this] { poll_homes(); });
     home_timer_.start(home_poll_interval);
@@ -134,6 +133,13 @@
     store_->list_instances();
 }
 
+void instance::post_in_order(core::event_body body) {
+    if (executor_) {
+        executor_->flush_events();
+    }
+    post(std::move(body));
+}
+
 void instance::post(core::event_body body) {
     pending_.push_back(std::move(body));
     if (processing_) {
--- a/source/service/instance.hpp
+++ b/source/service/instance.hpp
@@ -24,7 +24,7 @@
 namespace lovagetack::service {
 
 /// One entry instance: gives every event to the reducer and carries out the effects through the shells.
-class instance final : private admin_server::source {
+class instance final : public admin_server::source {
 public:
     /// Binds all addresses and starts. Errors: address_in_use.
     static base::result<std::unique_ptr<instance>> create(const settings::instance_settings& settings);
@@ -42,6 +42,9 @@
     base::result<void> start();
     void start_timers();
 
+    /// Posts after the events that the request executor has not delivered yet: the reducer must know that a byte of a
+    /// request was sent before it hears that a deadline has passed.
+    void post_in_order(core::event_body body);
     void post(core::event_body body);
     void process(core::event_body body);
     void poll_homes();
--- a/source/service/request_executor.cpp
+++ b/source/service/request_executor.cpp
@@ -169,11 +169,11 @@
 void request_executor::report(requests::event event) {
     events_.push_back(std::move(event));
     if (!std::exchange(delivery_posted_, true)) {
-        post([this] { deliver(); });
+        post([this] { flush_events(); });
     }
 }
 
-void request_executor::deliver() {
+void request_executor::flush_events() {
     delivery_posted_ = false;
     delivering_.swap(events_);
     for (auto& event : delivering_) {
--- a/source/service/request_executor.hpp
+++ b/source/service/request_executor.hpp
@@ -65,6 +65,9 @@
     /// Carries out one effect. Effects that are not about transport are ignored.
     void execute(const requests::effect& effect);
 
+    /// Delivers what was reported and is still waiting for the event loop.
+    void flush_events();
+
     /// Stops listening, lets everything in flight end, then calls the function from the event loop.
     void stop(std::function<void()> stopped) { server_.stop(std::move(stopped)); }
 
@@ -89,7 +92,6 @@
     void carry_out(const requests::limit_connections& effect);
     void carry_out(const requests::probe_connection& effect);
 
-    void deliver();
     void keep_or_send(exchange& exchange, http::server_connection& connection, std::string_view bytes);
     void send_side_request(const model::address& address, std::string text, bool fresh,
                            std::function<void(bool answered)> done);
--- a/source/settings/instance_settings.cpp
+++ b/source/settings/instance_settings.cpp
@@ -13,7 +13,6 @@
 constexpr auto name_form = "a name of 1 to 63 lower-case letters, digits and '-'";
 constexpr auto address_form = "an IP address and port such as 127.0.0.1:9000";
 constexpr auto duration_form = "a duration such as 250ms, 2s or 1min";
-constexpr auto size_form = "a size such as 16KiB or 64MiB";
 constexpr auto log_levels = std::to_array<std::string_view>({"debug", "info", "warn", "error"});
 
 std::optional<std::string> read_name(const std::string& text) {
@@ -67,7 +66,6 @@
     }
     constexpr std::int32_t most_connections = 1'000'000;
     const auto read_connections = [](const std::string& text) { return read_number(text, 1, most_connections); };
-    body->read("header", limits.header_bytes, read_size, size_form);
     body->read("connections", limits.connections, read_connections, "a whole number from 1 to 1000000");
     body->read("header_time", limits.header_time, read_duration, duration_form);
     body->read("idle_time", limits.idle_time, read_duration, duration_form);
--- a/source/settings/instance_settings.hpp
+++ b/source/settings/instance_settings.hpp
@@ -15,7 +15,6 @@
 
 /// Limits of one instance towards callers and backend servers.
 struct instance_limits {
-    std::uint64_t header_bytes = 16ULL * 1024;
     std::int32_t connections = 4096;
     /// Time for a caller to send the whole header.
     std::chrono::milliseconds header_time{5000};
