--- a/tests/stand_ins/main.cpp
+++ b/tests/stand_ins/main.cpp
@@ -16,6 +16,7 @@
     static const std::map<std::string, command> commands{
         {"platform", lovagetack::stand_ins::run_platform},
         {"backend", lovagetack::stand_ins::run_backend},
+        {"proxy", lovagetack::stand_ins::run_proxy},
     };
     const auto found = count < 2 ? commands.end() : commands.find(arguments[1]);
     if (found == commands.end()) {
