--- a/tests/integration/http_call.cpp
+++ b/tests/integration/http_call.cpp
@@ -105,7 +105,7 @@
     result.end = read_answer(socket, parser, deadline);
     const auto& message = parser.get();
     if (parser.is_header_done()) {
-        result.status = message.result_int();
+        result.status = static_cast<int>(message.result_int());
         result.body = message.body();
     }
     for (const auto& field : message) {
