requests: test that a claimed request runs once across repeats

Cause: a trial that freed the claim of a request whose caller left while it was executed passed all tests. Change: a test of this case; the random sequences check that no idempotency key runs again after it may have run. Figures: nothing was measured.

--- a/tests/requests/claims_test.cpp
+++ b/tests/requests/claims_test.cpp
@@ -141,6 +141,21 @@
     CHECK_FALSE(world.answer_of(first));
 }
 
+// Guards against a second run of a payment whose caller left while it was being executed.
+TEST_CASE("a claim is kept when the caller leaves after bytes were sent") {
+    auto world = fixture::ready();
+    const auto first = world.request(with_idempotency_key("pay-1"));
+    reply_done(world, last_transaction(world), 3);
+    world.sending(world.attempt_of(first).value());
+    const auto before = world.all<model::store_transaction>().size();
+    world.apply(caller_left{first});
+    world.pass(100ms);
+    CHECK(world.all<model::store_transaction>().size() == before);
+    const auto repeat = world.request(with_idempotency_key("pay-1"));
+    CHECK(last_transaction(world).conditions.front().version == 0);
+    CHECK(world.attempts_of(repeat) == 0);
+}
+
 // Guards against a caller that is told "not run" and then can never run its request with the same key.
 TEST_CASE("a claim whose request did not run is free again") {
     auto world = fixture::ready();
--- a/tests/requests/fake_shell.hpp
+++ b/tests/requests/fake_shell.hpp
@@ -64,6 +64,8 @@
     /// What the test knows about one request.
     struct known_request {
         bool idempotent = false;
+        /// What its idempotency claim stands for; empty without one.
+        std::string claim;
         bool may_have_run = false;
         bool over = false;
     };
@@ -117,6 +119,9 @@
         made.exchange = exchange_id(requests);
         made.key = made.service == board ? std::to_string(pick(1000)) : "";
         requests_[made.exchange].idempotent = made.idempotent;
+        if (!made.idempotent && !made.idempotency_key.empty()) {
+            requests_[made.exchange].claim = made.service.value() + "/" + made.key + "/" + made.idempotency_key;
+        }
         apply(made);
     }
 
@@ -175,7 +180,9 @@
         }
         auto& request = requests_.at(ended.exchange);
         const bool ran = attempt.sending && outcome != attempt_outcome::refused;
-        request.may_have_run = request.may_have_run || ran;
+        if (ran) {
+            note_run(request, attempt);
+        }
         if (outcome == attempt_outcome::completed) {
             REQUIRE_FALSE(request.over);
             request.over = true;
@@ -184,6 +191,13 @@
         apply(ended);
     }
 
+    void note_run(known_request& request, const running_attempt& attempt) {
+        request.may_have_run = true;
+        if (attempt.effect.relay_to.empty() && !request.claim.empty()) {
+            claims_run_.insert(request.claim);
+        }
+    }
+
     void leave() {
         const auto id = exchange_id(requests == 0 ? 0 : 1 + pick(requests));
         const auto found = requests_.find(id);
@@ -296,6 +310,10 @@
         auto& request = requests_.at(effect.exchange);
         REQUIRE_FALSE(request.over);
         REQUIRE((request.idempotent || !request.may_have_run));
+        // Relays are left out: their claims belong to the home instance, which is not part of the test.
+        if (effect.relay_to.empty()) {
+            REQUIRE_FALSE(claims_run_.contains(request.claim));
+        }
         started += 1;
         attempts_[effect.attempt].effect = effect;
     }
@@ -303,7 +321,9 @@
     void carry_out(const cancel_attempt& effect) {
         const auto& attempt = attempts_.at(effect.attempt);
         auto& request = requests_.at(effect.exchange);
-        request.may_have_run = request.may_have_run || attempt.sending;
+        if (attempt.sending) {
+            note_run(request, attempt);
+        }
         attempts_.erase(effect.attempt);
     }
 
@@ -346,6 +366,8 @@
     std::uint64_t row_version_ = 0;
     std::map<exchange_id, known_request> requests_;
     std::map<model::attempt_id, running_attempt> attempts_;
+    /// Claims whose requests may have run.
+    std::set<std::string> claims_run_;
     std::map<std::string, model::row> rows_;
     std::vector<model::store_transaction> transactions_;
     std::vector<model::store_read> reads_;
