requests: test that a lost home gives up its queue

Cause: a trial that kept queue and connections after the home was lost passed all tests. Change: a test of the relayed queue and of the connection limit.

--- a/tests/requests/routing_test.cpp
+++ b/tests/requests/routing_test.cpp
@@ -97,6 +97,23 @@
     CHECK(world.all<limit_connections>().back().connections == 110);
 }
 
+// Guards against an instance that keeps sending to a server after another one became its home.
+TEST_CASE("queued requests go to the new home and connections are given up") {
+    auto world = fixture::ready(1);
+    const auto first = world.request(board, true);
+    world.request(board, true);
+    const auto queued = world.request(board, true);
+    world.set_members({other_id});
+    REQUIRE(world.attempt_of(queued));
+    CHECK(world.attempt_of(queued)->relay_to == other_id);
+    for (const auto& limit : world.all<limit_connections>()) {
+        CHECK(limit.connections == 0);
+    }
+    CHECK(world.all<limit_connections>().size() == 2);
+    world.finish(first);
+    CHECK_FALSE(world.answer_of(first));
+}
+
 // Guards against an error to callers during a failover that is over before their deadline.
 TEST_CASE("a request waits while its range has no active owner") {
     auto world = fixture::ready();
