--- /dev/null
+++ b/tests/http/echo_handler.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "http/server.hpp"
+
+namespace lovagetack::test {
+
+/// Answers each request with its method, target and body once the body is complete.
+class echo_handler final : public http::server_connection::handler {
+public:
+    void request_started(http::server_connection& connection) override {
+        const auto& header = connection.message();
+        ++started;
+        bodies_[&connection] = std::string(header.method_string()) + " " + std::string(header.target()) + " ";
+    }
+
+    void request_body(http::server_connection& connection, std::string_view bytes) override {
+        bodies_[&connection].append(bytes);
+    }
+
+    void request_body_ended(http::server_connection& connection) override {
+        const auto body = bodies_[&connection];
+        bodies_.erase(&connection);
+        if (hold) {
+            return;
+        }
+        connection.start_answer(200, "OK", "", http::body_framing::length, body.size());
+        connection.answer_body(body);
+        connection.end_answer();
+    }
+
+    void answer_writable(http::server_connection& /*connection*/) override {}
+
+    void caller_left(http::server_connection& connection) override {
+        ++left;
+        bodies_.erase(&connection);
+    }
+
+    int started = 0;
+    int left = 0;
+    /// Leaves requests without an answer.
+    bool hold = false;
+
+private:
+    std::map<http::server_connection*, std::string> bodies_;
+};
+
+} // namespace lovagetack::test
--- /dev/null
+++ b/tests/http/server_test.cpp
@@ -0,0 +1,207 @@
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/echo_handler.hpp"
+#include "http/sockets.hpp"
+
+namespace lovagetack {
+namespace {
+
+using test::raw_socket;
+
+struct echo_server {
+    explicit echo_server(const http::server_limits& limits = {}) {
+        test::ensure_application();
+        server = std::make_unique<http::server>(handler, limits);
+        REQUIRE(server->listen({"127.0.0.1", 0}));
+    }
+
+    test::echo_handler handler;
+    std::unique_ptr<http::server> server;
+};
+
+/// Sends one request and returns everything that came until the server closed.
+std::string answer_until_close(const echo_server& echo, std::string_view request) {
+    raw_socket caller(echo.server->port());
+    caller.send(request);
+    caller.wait_for_close();
+    return caller.received();
+}
+
+// Guards against a parser that needs a header or a chunk in one piece.
+TEST_CASE("a request that trickles in byte by byte is understood") {
+    echo_server echo;
+    raw_socket caller(echo.server->port());
+    caller.send_byte_by_byte("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc");
+    caller.wait_for("POST /a abc");
+    caller.send_byte_by_byte("POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "2\r\nde\r\nA;x=1\r\n0123456789\r\n0\r\nTrailer: 1\r\n\r\n");
+    caller.wait_for("POST /b de0123456789");
+    caller.send_byte_by_byte("POST /c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    caller.wait_for("POST /c ");
+    CHECK(echo.handler.started == 3);
+}
+
+// Guards against answers in another order than the requests, and against lost pipelined requests.
+TEST_CASE("pipelined requests are answered in order") {
+    echo_server echo;
+    raw_socket caller(echo.server->port());
+    std::string requests;
+    for (int number = 100; number < 200; ++number) {
+        requests += "POST /" + std::to_string(number) + " HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n.";
+    }
+    caller.send(requests);
+    caller.wait_for("/199 .");
+    std::size_t position = 0;
+    for (int number = 100; number < 200; ++number) {
+        const auto found = caller.received().find("POST /" + std::to_string(number) + " .");
+        REQUIRE(found != std::string::npos);
+        CHECK(found >= position);
+        position = found;
+    }
+}
+
+// Guards against request smuggling: another party could see a different end of the body.
+TEST_CASE("a request with an ambiguous or malformed header is refused and the connection closed") {
+    const std::vector<std::string> headers{
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3, 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+        "GET / HTTP/3.1\r\nHost: x\r\n\r\n",
+        "nonsense\r\n\r\n"};
+    for (const auto& header : headers) {
+        INFO(header);
+        echo_server echo;
+        const auto answer = answer_until_close(echo, header + "GET /second HTTP/1.1\r\nHost: x\r\n\r\n");
+        CHECK(answer.rfind("HTTP/1.1 400 ", 0) == 0);
+        CHECK(answer.find("lovagetack-outcome: not-run\r\n") != std::string::npos);
+        CHECK(test::count_of(answer, "HTTP/1.1 ") == 1);
+        CHECK(echo.handler.started == 0);
+    }
+}
+
+// Guards against a body that is taken for complete, or a following request that is read from inside a broken chunk.
+TEST_CASE("a broken chunk is answered 400 and the connection closed") {
+    echo_server echo;
+    const auto answer = answer_until_close(
+        echo,
+        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabXX0\r\n\r\nGET / HTTP/1.1\r\n\r\n");
+    CHECK(answer.rfind("HTTP/1.1 400 ", 0) == 0);
+    CHECK(answer.find("lovagetack-outcome: unknown\r\n") != std::string::npos);
+    CHECK(echo.handler.left == 1);
+}
+
+// Guards against memory that a caller can fill at will.
+TEST_CASE("a header or body above the limit is refused") {
+    http::server_limits limits;
+    limits.body_bytes = 100000;
+    echo_server echo(limits);
+    const std::string large(17000, 'a');
+    CHECK(answer_until_close(echo, "GET / HTTP/1.1\r\nHost: x\r\nX: " + large + "\r\n\r\n").rfind("HTTP/1.1 431 ", 0) ==
+          0);
+    CHECK(answer_until_close(echo, "GET /" + large).rfind("HTTP/1.1 431 ", 0) == 0);
+    std::string many = "GET / HTTP/1.1\r\nHost: x\r\n";
+    for (int field = 0; field < 2000; ++field) {
+        many += "a: bcdef\r\n";
+    }
+    CHECK(answer_until_close(echo, many).rfind("HTTP/1.1 431 ", 0) == 0);
+    CHECK(answer_until_close(echo, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100001\r\n\r\n")
+              .rfind("HTTP/1.1 413 ", 0) == 0);
+    const std::string chunk = "c350\r\n" + std::string(50000, 'b') + "\r\n";
+    const auto chunked = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk;
+    CHECK(answer_until_close(echo, chunked + "1\r\nc\r\n0\r\n\r\n").rfind("HTTP/1.1 413 ", 0) == 0);
+    raw_socket caller(echo.server->port());
+    caller.send(chunked + "0\r\n\r\n");
+    caller.wait_for("HTTP/1.1 200 ");
+}
+
+// Guards against connections that are held for ever without a complete header.
+TEST_CASE("a header that does not come to its end is answered 408") {
+    http::server_limits limits;
+    limits.header_time = std::chrono::milliseconds(1);
+    echo_server echo(limits);
+    CHECK(answer_until_close(echo, "GET / HTTP/1.1\r\nHo").rfind("HTTP/1.1 408 ", 0) == 0);
+}
+
+// Guards against idle connections that use up the limit.
+TEST_CASE("an idle connection is closed without an answer") {
+    http::server_limits limits;
+    limits.idle_time = std::chrono::milliseconds(1);
+    echo_server echo(limits);
+    raw_socket caller(echo.server->port());
+    caller.wait_for_close();
+    CHECK(caller.received().empty());
+}
+
+// Guards against more connections than the instance has memory for, and against a limit that never frees.
+TEST_CASE("a connection above the limit is refused until another one closes") {
+    http::server_limits limits;
+    limits.connections = 1;
+    echo_server echo(limits);
+    raw_socket first(echo.server->port());
+    first.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    first.wait_for("GET /1");
+    const auto refused = answer_until_close(echo, "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(refused.rfind("HTTP/1.1 503 ", 0) == 0);
+    CHECK(refused.find("lovagetack-code: 2021\r\n") != std::string::npos);
+    CHECK(echo.handler.started == 1);
+    first.close();
+    test::run_until([&echo] { return echo.server->connections() == 0; });
+    raw_socket third(echo.server->port());
+    third.send("GET /3 HTTP/1.1\r\nHost: x\r\n\r\n");
+    third.wait_for("GET /3");
+}
+
+// Guards against a server that loses count of, or touches, a connection whose caller has gone.
+TEST_CASE("a caller may leave at any point of its request") {
+    echo_server echo;
+    echo.handler.hold = true;
+    const std::string request = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabcd";
+    for (std::size_t length = 0; length <= request.size(); ++length) {
+        raw_socket caller(echo.server->port());
+        caller.send(request.substr(0, length));
+        test::run_until([&echo] { return echo.server->connections() == 1; });
+        if (length % 2 == 0) {
+            caller.reset();
+        } else {
+            caller.close();
+        }
+        test::run_until([&echo] { return echo.server->connections() == 0; });
+    }
+    CHECK(echo.handler.left == echo.handler.started);
+}
+
+// Guards against a shutdown that cuts off a request, or that waits for ever.
+TEST_CASE("stop lets the open request end and closes idle connections") {
+    echo_server echo;
+    raw_socket idle(echo.server->port());
+    raw_socket busy(echo.server->port());
+    busy.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab");
+    test::run_until([&echo] { return echo.handler.started == 1; });
+    bool stopped = false;
+    echo.server->stop([&stopped] { stopped = true; });
+    idle.wait_for_close();
+    CHECK_FALSE(stopped);
+    busy.send("cd");
+    busy.wait_for("POST /a abcd");
+    CHECK(busy.received().find("connection: close\r\n") != std::string::npos);
+    busy.wait_for_close();
+    test::run_until([&stopped] { return stopped; });
+}
+
+} // namespace
+} // namespace lovagetack
--- a/tests/http/sockets.cpp
+++ b/tests/http/sockets.cpp
@@ -64,7 +64,7 @@
 }
 
 void raw_socket::take() {
-    if (reading_) {
+    if (reading_ && socket_->isOpen()) {
         received_ += socket_->readAll().toStdString();
     }
 }
