--- a/tests/service/executor_faults_test.cpp
+++ b/tests/service/executor_faults_test.cpp
@@ -31,7 +31,7 @@
     }
     connection.close();
     caller.wait_for_close();
-    CHECK(caller.received().find("0\r\n\r\n") == std::string::npos);
+    CHECK(caller.received().find("\r\n0\r\n\r\n") == std::string::npos);
     CHECK(harness.wait_for<requests::attempt_ended>().outcome == attempt_outcome::cut_short);
     CHECK(harness.executor->open_exchanges() == 0);
 }
