ownership: home leases for backend servers that do not check grants

Such servers do not refuse a former home instance. The controller now gives the home instance a lease on the asker's clock, denies it while the server's ranges are to leave, and the home asks for it every 100 ms. The generated sequences also show that the check finds two broken rules.

Nothing was measured. The leases have no focused test yet.

--- a/source/ownership/granting.cpp
+++ b/source/ownership/granting.cpp
@@ -126,7 +126,10 @@
     body.lease_from = view.clock;
     body.lease_boot_id = view.boot_id;
     body.lease_time = state.rules.lease_time;
-    view.lease_bound = std::max(view.lease_bound, view.last_answer_at + state.rules.lease_bound);
+    // The bound of a server that does not check grants is that of its home lease.
+    if (view.checks_grants) {
+        view.lease_bound = std::max(view.lease_bound, view.last_answer_at + state.rules.lease_bound);
+    }
 }
 
 void send_poll(step& step, server_view& view, model::grant_poll body) {
--- a/source/ownership/reduce.cpp
+++ b/source/ownership/reduce.cpp
@@ -5,6 +5,7 @@
 #include "ownership/assigning.hpp"
 #include "ownership/election.hpp"
 #include "ownership/granting.hpp"
+#include "ownership/home_leases.hpp"
 #include "ownership/servers.hpp"
 #include "ownership/step.hpp"
 #include "ownership/store.hpp"
@@ -55,7 +56,7 @@
     void operator()(const model::service_states_changed& event) const { step.state.service_states = event.states; }
     void operator()(const model::store_reply& event) const { take_store_reply(step, event); }
     void operator()(const grant_answered& event) const { take_answer(step, event); }
-    void operator()(const lease_message&) const {}
+    void operator()(const lease_message& event) const { take_lease_message(step, event); }
     void operator()(const controller_heard& event) const { hear_controller(step, event); }
 };
 
@@ -66,6 +67,7 @@
     maintain_rows(step);
     publish_activations(step);
     publish_routes(step);
+    request_home_leases(step);
 }
 
 } // namespace
--- a/tests/sequences/ownership_test.cpp
+++ b/tests/sequences/ownership_test.cpp
@@ -69,5 +69,22 @@
     }
 }
 
+// Guards against a check that finds nothing: without the waiting time after a take-over, a server that only the old
+// controller reached still has its lease when the successor is activated.
+TEST_CASE("the check finds a controller that activates successors without waiting") {
+    ownership::limits limits;
+    limits.activation_wait = 0ms;
+    const auto result = run(20, disturbance::frozen_server, disturbance::lost_messages, limits);
+    CHECK_FALSE(result.violations.empty());
+}
+
+// The same for a controller that takes a lease as over before it is.
+TEST_CASE("the check finds a controller that assumes too short leases") {
+    ownership::limits limits;
+    limits.lease_bound = 100ms;
+    const auto result = run(1, disturbance::lost_messages, disturbance::none, limits);
+    CHECK_FALSE(result.violations.empty());
+}
+
 } // namespace
 } // namespace lovagetack
