--- a/source/membership/fact_store.cpp
+++ b/source/membership/fact_store.cpp
@@ -36,7 +36,7 @@
     const model::fact_name name{fact.kind, fact.name};
     const auto found = facts_.find(name);
     const entry* const replaced = found == facts_.end() ? nullptr : &found->second;
-    if (false) {
+    if (replaced != nullptr && !is_newer(fact.version, replaced->fact.version)) {
         return outcome::not_newer;
     }
     if (!has_room_for(fact, replaced)) {
