peers, service: stamp messages and observe new backend servers at once

Cause: the time line of several processes was ordered by their wall clocks alone, and a new home instance ramped warm backend servers for up to 500 ms, until its next look at their uptime. Change: messages carry a hybrid logical clock; a backend server is looked at when its connections are allowed.

--- a/source/model/peer_message.hpp
+++ b/source/model/peer_message.hpp
@@ -104,6 +104,8 @@
     model::incarnation from_incarnation;
     model::address from_address;
     peer_message_body body;
+    /// Hybrid logical clock of the sender, microseconds since 1970; orders the time line.
+    std::uint64_t stamp = 0;
 
     bool operator==(const peer_message&) const = default;
 };
@@ -189,7 +191,8 @@
     static constexpr auto list = std::make_tuple(make_field("from", &model::peer_message::from),
                                                  make_field("from_incarnation", &model::peer_message::from_incarnation),
                                                  make_field("from_address", &model::peer_message::from_address),
-                                                 make_field("body", &model::peer_message::body));
+                                                 make_field("body", &model::peer_message::body),
+                                                 make_field("stamp", &model::peer_message::stamp));
 };
 
 template <>
--- a/source/peers/message_conversion.cpp
+++ b/source/peers/message_conversion.cpp
@@ -178,6 +178,7 @@
     out.set_from_incarnation(message.from_incarnation.value());
     out.set_from_host(message.from_address.host);
     out.set_from_port(message.from_address.port);
+    out.set_stamp(message.stamp);
     std::visit([&](const auto& body) { write_body(body, out); }, message.body);
     return out.SerializeAsString();
 }
@@ -197,6 +198,7 @@
     message.from = model::instance_id(in.from());
     message.from_incarnation = model::incarnation(in.from_incarnation());
     message.from_address = {in.from_host(), static_cast<std::uint16_t>(in.from_port())};
+    message.stamp = in.stamp();
     return read_body(in, message.body) ? decode_status::ok : decode_status::unknown_body;
 }
 
--- a/source/peers/peer_transport.cpp
+++ b/source/peers/peer_transport.cpp
@@ -92,6 +92,9 @@
     model::peer_message message;
     switch (decode(bytes, message)) {
     case decode_status::ok:
+        if (clock_ != nullptr) {
+            clock_->observe(message.stamp);
+        }
         on_message_(message);
         return;
     case decode_status::malformed:
@@ -109,7 +112,8 @@
         ++counters_.dropped;
         return;
     }
-    const std::string bytes = encode({identity_.id, identity_.incarnation, identity_.address, message.body});
+    const std::uint64_t stamp = clock_ == nullptr ? 0 : clock_->next();
+    const std::string bytes = encode({identity_.id, identity_.incarnation, identity_.address, message.body, stamp});
     const auto now = base::boot_clock::now();
     try {
         peer_connection& connection = connection_to(endpoint_of(message.to_address), now);
--- a/source/peers/peer_transport.hpp
+++ b/source/peers/peer_transport.hpp
@@ -9,6 +9,7 @@
 #include <QTimer>
 #include <zmq.hpp>
 
+#include "base/hybrid_clock.hpp"
 #include "base/result.hpp"
 #include "model/peer_message.hpp"
 #include "peers/peer_connection.hpp"
@@ -42,6 +43,10 @@
 
     void send(const model::send_peer_message& message);
 
+    /// The clock that stamps messages and follows the stamps of others; it must live longer. Without one the stamps
+    /// are 0.
+    void use_clock(base::hybrid_clock& clock) { clock_ = &clock; }
+
     /// The identity with the port that was bound.
     [[nodiscard]] const peer_identity& identity() const { return identity_; }
     [[nodiscard]] const peer_counters& counters() const { return counters_; }
@@ -60,6 +65,7 @@
     peer_limits limits_;
     receiver on_message_;
     peer_counters counters_;
+    base::hybrid_clock* clock_ = nullptr;
     zmq::context_t context_;
     zmq::socket_t router_;
     std::map<std::string, peer_connection> connections_;
--- a/source/service/instance.cpp
+++ b/source/service/instance.cpp
@@ -84,6 +84,7 @@
                           {identity_.self.id, identity_.self.incarnation, settings_.peers}, peers::peer_limits{},
                           [this](const model::peer_message& message) { post_in_order(message); }));
     peers_ = std::move(transport);
+    peers_->use_clock(timeline_.clock());
 
     request_executor::settings executor_settings{.instance = identity_.self.id};
     executor_settings.limits.connections = static_cast<std::size_t>(settings_.limits.connections);
@@ -200,6 +201,15 @@
     grants_->execute(effect);
 }
 
+void instance::carry_out(const requests::limit_connections& effect) {
+    executor_->execute(effect);
+    // A new home ramps a backend server until it has heard how long that has been up.
+    const auto* server = model::find_backend_server(deployment_, effect.backend_server);
+    if (server != nullptr && effect.connections > 0) {
+        load_poller_->poll({*server});
+    }
+}
+
 void instance::carry_out(const requests::request_finished& effect) {
     const auto outcome = effect.code == 0 ? "answered" : std::to_string(effect.code);
     metrics_.observe(
--- a/source/service/instance.hpp
+++ b/source/service/instance.hpp
@@ -55,6 +55,7 @@
     void carry_out(const model::deployment_changed& effect);
     void carry_out(const model::timeline_entry& effect);
     void carry_out(const ownership::send_grant_poll& effect);
+    void carry_out(const requests::limit_connections& effect);
     void carry_out(const requests::request_finished& effect);
     template <class Effect>
     void carry_out(const Effect& effect);
