http: post deferred calls through an event of our own

clang-tidy reports a leak inside QMetaObject::invokeMethod for each queued call. deferred_calls posts an event instead, which also drops calls that are still waiting when their owner is destroyed. Nothing was measured. All tests of http and service pass.

--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -96,7 +96,7 @@
     if (!stopping_ || !stopped_ || !connections_.empty()) {
         return;
     }
-    QMetaObject::invokeMethod(&listener_, std::exchange(stopped_, nullptr), Qt::QueuedConnection);
+    calls_.post(std::exchange(stopped_, nullptr));
 }
 
 } // namespace lovagetack::http
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -10,6 +10,7 @@
 #include <QTimer>
 
 #include "base/result.hpp"
+#include "http/deferred_calls.hpp"
 #include "http/server_connection.hpp"
 #include "http/server_limits.hpp"
 #include "model/address.hpp"
@@ -45,6 +46,7 @@
     std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
     std::function<void()> stopped_;
     bool stopping_ = false;
+    deferred_calls calls_;
 };
 
 } // namespace lovagetack::http
--- a/source/http/socket_stream.cpp
+++ b/source/http/socket_stream.cpp
@@ -126,7 +126,7 @@
 }
 
 void socket_stream::post(std::function<void()> function) {
-    QMetaObject::invokeMethod(&context_, std::move(function), Qt::QueuedConnection);
+    context_.post(std::move(function));
 }
 
 void socket_stream::shut_down_sending() {
--- a/source/http/socket_stream.hpp
+++ b/source/http/socket_stream.hpp
@@ -10,6 +10,7 @@
 #include <QTcpSocket>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "http/deferred_calls.hpp"
 #include "model/address.hpp"
 
 namespace lovagetack::http {
@@ -87,7 +88,7 @@
     bool closed_by_peer_ = false;
     bool in_call_ = false;
     /// Receiver of all signals; destroyed first, which ends them.
-    QObject context_;
+    deferred_calls context_;
 };
 
 } // namespace lovagetack::http
--- a/source/service/request_executor.cpp
+++ b/source/service/request_executor.cpp
@@ -183,7 +183,7 @@
 }
 
 void request_executor::post(std::function<void()> function) {
-    QMetaObject::invokeMethod(&context_, std::move(function), Qt::QueuedConnection);
+    context_.post(std::move(function));
 }
 
 void request_executor::attempt_over(exchange& exchange, const requests::attempt_ended& event) {
--- a/source/service/request_executor.hpp
+++ b/source/service/request_executor.hpp
@@ -16,6 +16,7 @@
 
 #include "base/result.hpp"
 #include "http/connection_pool.hpp"
+#include "http/deferred_calls.hpp"
 #include "http/server.hpp"
 #include "model/address.hpp"
 #include "model/deployment.hpp"
@@ -114,7 +115,7 @@
     bool delivery_posted_ = false;
     http::server server_;
     QTimer timer_;
-    QObject context_;
+    http::deferred_calls context_;
 };
 
 } // namespace lovagetack::service
