ownership: move ranges between data centres, and confirm adopted ranges

A reported range is now kept only when its other servers were reached without it, or after the waiting time. A server that refuses the controller's epoch after a failed claim now counts as silent, and the controller takes a higher epoch.

Drains, losses and returns of data centres move ranges in one transaction on two rows after nobody can execute them any more.

--- a/source/ownership/election.cpp
+++ b/source/ownership/election.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "ownership/data_centres.hpp"
 #include "ownership/servers.hpp"
 
 namespace lovagetack::ownership {
@@ -19,7 +20,10 @@
     state.next_store_call_at = step.now;
     state.next_row_read_at = step.now;
     state.rows_read = false;
+    state.rows_final = false;
+    state.rows_needed_since = step.now;
     state.published.clear();
+    withhold_withdrawn(state);
     note(step, "controller_elected", {{"epoch", std::to_string(state.epoch.value())}});
 }
 
--- a/source/ownership/granting.cpp
+++ b/source/ownership/granting.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "ownership/data_centres.hpp"
 #include "ownership/intervals.hpp"
 #include "ownership/servers.hpp"
 #include "ownership/units.hpp"
@@ -21,10 +22,13 @@
 /// Whether the unit may be in the next poll of its target.
 bool may_grant(const step& step, const server_view& view, const model::service_id& service, const unit& unit) {
     const auto& state = step.state;
-    if (!view.reached) {
+    if (!view.reached || is_withheld(state, service, unit)) {
         return false;
     }
-    if (covered(view.sent, service, unit) || covered(view.held, service, unit)) {
+    if (covered(view.sent, service, unit)) {
+        return true;
+    }
+    if (covered(view.held, service, unit) && may_adopt(state, service, unit, step.now)) {
         return true;
     }
     if (is_unwanted(state, view.server.id) || is_silent(state, view, step.now)) {
@@ -143,17 +147,28 @@
     step.effects.emplace_back(send_grant_poll{view.server.id, view.server.address, poll, std::move(body)});
 }
 
+/// Whether a grant would take a range from the server that it may keep as soon as the other servers have answered.
+bool awaits_adoption(const step& step, const server_view& view, const std::vector<model::granted_range>& wanted) {
+    if (step.now >= step.state.term_start + step.state.rules.adoption_grace || !view.sent.empty()) {
+        return false;
+    }
+    return std::any_of(view.held.begin(), view.held.end(), [&](const model::granted_range& range) {
+        return std::find(wanted.begin(), wanted.end(), range) == wanted.end();
+    });
+}
+
 void poll_server(step& step, server_view& view, grant_lists& lists, bool controls) {
     auto& state = step.state;
     auto wanted = std::move(lists[view.server.id]);
     keep_unknown(state, view, wanted);
-    const bool changed = controls && view.reached && wanted != view.sent;
+    const bool grants = controls && view.reached && !awaits_adoption(step, view, wanted);
+    const bool changed = grants && wanted != view.sent;
     if (!changed && step.now < view.next_poll_at) {
         return;
     }
     ++state.grant_version;
     auto body = poll_without_grant(state);
-    if (controls && view.reached) {
+    if (grants) {
         add_grant(step, view, std::move(wanted), body);
     }
     send_poll(step, view, std::move(body));
@@ -220,12 +235,13 @@
         return;
     }
     const auto& answer = *answered.answer;
-    const bool newest = take_observations(step, view, answered.poll, answer);
     if (!answer.accepted || answer.epoch != state.epoch) {
+        // Such a server can't be granted anything: it counts as silent, and its ranges go to their successors.
         view.refused = view.refused || answer.epoch > state.epoch;
         state.highest_epoch_seen = std::max(state.highest_epoch_seen, answer.epoch);
         return;
     }
+    const bool newest = take_observations(step, view, answered.poll, answer);
     if (answer.uptime >= state.rules.witness_uptime) {
         view.accepted_at = std::max(view.accepted_at.value_or(sent_at), sent_at);
     }
--- a/source/ownership/limits.hpp
+++ b/source/ownership/limits.hpp
@@ -20,6 +20,9 @@
     /// After a take-over, before the successor of an unreached server is activated: the old controller may have
     /// renewed that server's lease until authority_time after it lost the majority.
     std::chrono::milliseconds activation_wait = std::chrono::milliseconds(805);
+    /// At the start of a term, servers whose reported ranges cannot be confirmed yet keep their old leases unchanged
+    /// for this time, in which the other servers and the store usually answer.
+    std::chrono::milliseconds adoption_grace = std::chrono::milliseconds(100);
     /// A witness that restarted has forgotten the epoch; it counts only after this uptime.
     std::chrono::milliseconds witness_uptime = std::chrono::milliseconds(2000);
     std::chrono::milliseconds heartbeat_interval = std::chrono::milliseconds(100);
--- a/source/ownership/reduce.cpp
+++ b/source/ownership/reduce.cpp
@@ -3,6 +3,7 @@
 #include "base/json.hpp"
 #include "ownership/activations.hpp"
 #include "ownership/assigning.hpp"
+#include "ownership/data_centres.hpp"
 #include "ownership/election.hpp"
 #include "ownership/granting.hpp"
 #include "ownership/home_leases.hpp"
@@ -64,6 +65,7 @@
     check_authority(step);
     send_polls(step);
     run_store(step);
+    move_between_data_centres(step);
     maintain_rows(step);
     publish_activations(step);
     publish_routes(step);
--- a/source/ownership/state.hpp
+++ b/source/ownership/state.hpp
@@ -17,6 +17,7 @@
 #include "model/load_report.hpp"
 #include "model/member.hpp"
 #include "model/service_state.hpp"
+#include "ownership/departure.hpp"
 #include "ownership/limits.hpp"
 #include "ownership/server_view.hpp"
 #include "ownership/store_operation.hpp"
@@ -109,7 +110,16 @@
     base::boot_time next_row_read_at;
     /// The assignment rows were read since the claim began, or since a write without an answer.
     bool rows_read = false;
+    /// The rows were read in this term after the store recorded it, so no former controller changes them any more.
+    bool rows_final = false;
+    /// Only a read sent at this time or later counts.
+    base::boot_time rows_needed_since;
     std::deque<base::boot_time> recent_moves;
+    std::vector<departure> departures;
+    /// The move to a data centre with less than its share that is under way.
+    std::optional<departure> planned_departure;
+    /// Ranges that nobody served when the term began; see withhold_withdrawn().
+    std::vector<departure> withdrawn;
 
     std::map<model::service_id, std::vector<model::active_range>> published;
     std::uint64_t activation_sequence = 0;
--- a/source/ownership/store.cpp
+++ b/source/ownership/store.cpp
@@ -174,6 +174,23 @@
     return true;
 }
 
+/// A server that accepted the epoch of a claim that failed refuses the controller's lower one for good, so the
+/// controller takes a higher one.
+bool raise_epoch(step& step) {
+    auto& state = step.state;
+    const bool refused =
+        std::any_of(state.servers.begin(), state.servers.end(), [](const auto& entry) { return entry.second.refused; });
+    if (!refused || !is_controller(state, step.now) || state.record.current_epoch != state.epoch) {
+        return false;
+    }
+    auto record = state.record;
+    record.current_epoch = std::max(record.next_epoch, state.highest_epoch_seen.next());
+    record.next_epoch = record.current_epoch.next();
+    record.holder = state.id;
+    write_record(step, std::move(record));
+    return true;
+}
+
 /// A data centre without witnesses: the lease in the store ran out when the row has not changed for its length.
 bool claim_by_store(step& step) {
     auto& state = step.state;
@@ -206,7 +223,7 @@
         read(step, operation_kind::read_controller);
         return;
     }
-    if (record_controller(step)) {
+    if (record_controller(step) || raise_epoch(step)) {
         state.next_store_call_at = step.now;
         return;
     }
@@ -261,24 +278,44 @@
     }
 }
 
-void take_assignment_rows(step& step, const model::store_reply& reply) {
+void take_assignment_rows(step& step, const store_operation& operation, const model::store_reply& reply) {
     for (const auto& row : reply.rows) {
         model::assignment value;
         if (base::from_json_text(row.value, value) && learn_assignment(step, row.version, value)) {
             publish_row(step, model::fact_kind::assignment, row.key, row.version, row.value);
         }
     }
-    step.state.rows_read = true;
+    if (operation.sent_at >= step.state.rows_needed_since) {
+        step.state.rows_read = true;
+        step.state.rows_final = step.state.rows_final || may_write_rows(step);
+    }
+}
+
+/// Rows read before now may be out of date.
+void need_rows(step& step) {
+    step.state.rows_read = false;
+    step.state.rows_needed_since = step.now;
+    step.state.next_row_read_at = step.now;
 }
 
 void take_record_write(step& step, const store_operation& operation, const model::store_reply& reply) {
     auto& state = step.state;
     const auto version = reply.versions.empty() ? 0 : reply.versions.front();
     const bool is_first = state.record_version == 0 && operation.record.holder == state.id;
+    const auto old_epoch = state.record.current_epoch;
+    const bool raised = operation.record.holder == state.id && operation.record.current_epoch > state.epoch;
+    if (raised && state.role != role::candidate) {
+        claim(step, operation.record.current_epoch);
+    }
     learn_record(step, version, operation.record);
     publish_row(step, model::fact_kind::controller, state.data_centre.value(), version,
                 base::to_json_text(operation.record));
-    if (operation.record.holder == state.id && operation.record.current_epoch == state.epoch) {
+    const bool recorded = operation.record.holder == state.id && operation.record.current_epoch == state.epoch;
+    if (recorded && old_epoch != state.epoch) {
+        // From here on the writes of former controllers conflict; those before may have changed the rows.
+        need_rows(step);
+    }
+    if (recorded) {
         state.store_lease_from = operation.sent_at;
     }
     for (const auto& reservation : operation.record.reservations) {
@@ -319,7 +356,7 @@
         take_record_row(step, reply);
         return;
     case operation_kind::read_assignments:
-        take_assignment_rows(step, reply);
+        take_assignment_rows(step, operation, reply);
         return;
     case operation_kind::write_controller:
         take_record_write(step, operation, reply);
@@ -334,8 +371,7 @@
 void read_back(step& step, const store_operation& operation) {
     auto& state = step.state;
     if (operation.kind == operation_kind::write_assignments) {
-        state.rows_read = false;
-        state.next_row_read_at = step.now;
+        need_rows(step);
     }
     const bool writes =
         operation.kind == operation_kind::write_controller || operation.kind == operation_kind::write_assignments;
--- a/source/ownership/units.cpp
+++ b/source/ownership/units.cpp
@@ -151,6 +151,16 @@
     });
 }
 
+bool may_adopt(const state& state, const model::service_id& service, const unit& unit, base::boot_time now) {
+    const auto& entry = own_row(state, service)->value.ranges[unit.entry];
+    return std::none_of(state.servers.begin(), state.servers.end(), [&](const auto& known) {
+        const auto& [id, view] = known;
+        const bool concerned = !state.rows_final || id == entry.owner || id == entry.successor;
+        return concerned && id != unit.target && view.server.service == service &&
+               may_hold(state, view, service, unit.first, unit.last, now);
+    });
+}
+
 bool is_serving(const server_view& view, const model::service_id& service, const unit& unit, base::boot_time now) {
     if (!view.reached || (view.checks_grants && now >= view.lease_bound)) {
         return false;
--- a/source/ownership/units.hpp
+++ b/source/ownership/units.hpp
@@ -39,6 +39,11 @@
 [[nodiscard]] bool is_clear(const state& state, const model::service_id& service, const unit& unit,
                             base::boot_time now);
 
+/// Whether a range that the target reported may stay with it. A former controller can still have activated the range
+/// at its other server, as long as that one was not reached; or at any server, while the rows may be out of date.
+[[nodiscard]] bool may_adopt(const state& state, const model::service_id& service, const unit& unit,
+                             base::boot_time now);
+
 /// Whether the server may execute requests for the range, as far as is known here.
 [[nodiscard]] bool may_hold(const state& state, const server_view& view, const model::service_id& service,
                             std::uint64_t first, std::uint64_t last, base::boot_time now);
--- a/tests/sequences/disturbance.hpp
+++ b/tests/sequences/disturbance.hpp
@@ -19,9 +19,11 @@
     store_outage,
     lost_write_answers,
     cut_off_data_centre,
+    drained_data_centre,
+    drained_server,
 };
 
-constexpr int disturbance_count = 12;
+constexpr int disturbance_count = 14;
 
 /// Applies one kind of disturbance to a cluster at drawn moments, and ends it.
 class disturber {
@@ -82,12 +84,19 @@
                 cluster_.cut_off.clear();
             }
             return;
+        case disturbance::drained_data_centre:
+            toggle({model::subject_kind::data_centre, "b", model::availability::drained, 0, 0ms});
+            return;
+        case disturbance::drained_server:
+            toggle({model::subject_kind::backend_server, "a-s0", model::availability::drained, 0, 0ms});
+            return;
         default:
             return;
         }
     }
 
     void stop() {
+        cluster_.set_states({});
         cluster_.faults = {};
         cluster_.lost_write_answers = 0;
         cluster_.store.up = true;
@@ -100,6 +109,11 @@
     }
 
 private:
+    void toggle(const model::service_state& order) {
+        drained_ = !drained_;
+        cluster_.set_states(drained_ ? std::vector{order} : std::vector<model::service_state>{});
+    }
+
     /// Mostly the controller, since its loss matters most.
     cluster::node& some_node() {
         const std::string data_centre = cluster_.draw(2) == 0 ? "a" : "b";
@@ -119,6 +133,7 @@
     cluster& cluster_;
     disturbance kind_;
     bool killed_ = false;
+    bool drained_ = false;
 };
 
 } // namespace lovagetack::testing
