ownership: balance load inside a data centre

The most loaded server kept its ranges whatever the load reports said.

Churn and imbalance under a moving hot set are still to be measured by the load experiments.

--- a/source/ownership/limits.hpp
+++ b/source/ownership/limits.hpp
@@ -51,6 +51,8 @@
     /// Moves that balance load are limited to moves_per_window in each move_window.
     std::chrono::milliseconds move_window = std::chrono::milliseconds(10000);
     std::size_t moves_per_window = 2;
+    /// Between two looks at the balance of load; load reports come every 2 s.
+    std::chrono::milliseconds balance_interval = std::chrono::milliseconds(2000);
     /// Load reports older than this are not used.
     std::chrono::milliseconds report_age = std::chrono::milliseconds(6000);
     /// Moves start when the most loaded server has more than this many percent of the mean.
--- a/source/ownership/reduce.cpp
+++ b/source/ownership/reduce.cpp
@@ -3,6 +3,7 @@
 #include "base/json.hpp"
 #include "ownership/activations.hpp"
 #include "ownership/assigning.hpp"
+#include "ownership/balance.hpp"
 #include "ownership/data_centres.hpp"
 #include "ownership/election.hpp"
 #include "ownership/granting.hpp"
@@ -67,6 +68,7 @@
     run_store(step);
     move_between_data_centres(step);
     maintain_rows(step);
+    balance_load(step);
     publish_activations(step);
     publish_routes(step);
     request_home_leases(step);
--- a/source/ownership/state.hpp
+++ b/source/ownership/state.hpp
@@ -115,6 +115,7 @@
     /// Only a read sent at this time or later counts.
     base::boot_time rows_needed_since;
     std::deque<base::boot_time> recent_moves;
+    base::boot_time next_balance_at;
     std::vector<departure> departures;
     /// The move to a data centre with less than its share that is under way.
     std::optional<departure> planned_departure;
