--- a/source/ownership/reduce.cpp
+++ b/source/ownership/reduce.cpp
@@ -3,6 +3,8 @@
 #include "base/json.hpp"
 #include "ownership/activations.hpp"
 #include "ownership/assigning.hpp"
+#include "ownership/balance.hpp"
+#include "ownership/data_centres.hpp"
 #include "ownership/election.hpp"
 #include "ownership/granting.hpp"
 #include "ownership/home_leases.hpp"
@@ -64,7 +66,9 @@
     check_authority(step);
     send_polls(step);
     run_store(step);
+    move_between_data_centres(step);
     maintain_rows(step);
+    balance_load(step);
     publish_activations(step);
     publish_routes(step);
     request_home_leases(step);
