--- a/source/model/service_state.hpp
+++ b/source/model/service_state.hpp
@@ -34,6 +34,8 @@
     std::uint64_t row_version = 0;
     /// Since 1970, set where the order entered.
     std::chrono::milliseconds operator_time = std::chrono::milliseconds(0);
+    /// Read from or written to the row; else the order is still to be written.
+    bool in_store = false;
 
     bool operator==(const service_state&) const = default;
 };
@@ -50,5 +52,6 @@
                                                  make_field("name", &model::service_state::name),
                                                  make_field("availability", &model::service_state::availability),
                                                  make_field("row_version", &model::service_state::row_version),
-                                                 make_field("operator_time", &model::service_state::operator_time));
+                                                 make_field("operator_time", &model::service_state::operator_time),
+                                                 make_field("in_store", &model::service_state::in_store));
 };
