--- a/source/configuration/reduce.hpp
+++ b/source/configuration/reduce.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <vector>
 
+#include "base/boot_time.hpp"
 #include "configuration/effect.hpp"
 #include "configuration/event.hpp"
 #include "configuration/state.hpp"
@@ -10,6 +12,7 @@
 
 using effects = std::vector<effect>;
 
-[[nodiscard]] effects reduce(state& state, base::boot_time now, std::uint64_t random, const event& event);
+/// Applies one event. random is the source of all choices made in it.
+[[nodiscard]] effects reduce(state& state, base::boot_time now, std::uint64_t random, const event& happened);
 
 } // namespace lovagetack::configuration
