core: route answers of the platform by the top bits of the operation id

Cause: modules number their calls from different first values up to 6 * 2^60, and the reducer's own tag multiplied the number by 3, which overflows. Change: the top 3 bits of the number tell the modules apart; status shows orders and rejected configurations; an instance ends when a later run of its name exists. Conclusion: one numbering, checked at compile time.

--- a/source/core/reduce.cpp
+++ b/source/core/reduce.cpp
@@ -13,18 +13,11 @@
 namespace lovagetack::core {
 namespace {
 
-/// The module that started a call to the platform; its number is kept in the operation id.
-enum class caller_module : std::uint64_t {
-    configuration = 0,
-    ownership = 1,
-    requests = 2,
-};
-
-constexpr std::uint64_t module_count = 3;
-
-model::operation_id with_module(model::operation_id operation, caller_module module) {
-    return model::operation_id(operation.value() * module_count + static_cast<std::uint64_t>(module));
-}
+/// The modules number their calls to the platform from different first values; the top 3 bits tell them apart.
+constexpr unsigned module_shift = 61;
+constexpr std::uint64_t configuration_calls = configuration::first_operation >> module_shift;
+constexpr std::uint64_t requests_calls = requests::first_operation >> module_shift;
+static_assert(configuration_calls != requests_calls && configuration_calls != 0 && requests_calls != 0);
 
 /// An input of exactly one module.
 using module_event = std::variant<membership::event, configuration::event, ownership::event, requests::event>;
@@ -76,19 +69,14 @@
         to_ownership(std::move(lease));
     }
 
-    void receive(model::store_reply reply) {
-        const auto module = static_cast<caller_module>(reply.operation.value() % module_count);
-        reply.operation = model::operation_id(reply.operation.value() / module_count);
-        switch (module) {
-        case caller_module::configuration:
-            to_configuration(std::move(reply));
-            return;
-        case caller_module::ownership:
-            to_ownership(std::move(reply));
-            return;
-        case caller_module::requests:
-            to_requests(std::move(reply));
-            return;
+    void receive(const model::store_reply& reply) {
+        const auto module = reply.operation.value() >> module_shift;
+        if (module == configuration_calls) {
+            to_configuration(reply);
+        } else if (module == requests_calls) {
+            to_requests(reply);
+        } else {
+            to_ownership(reply);
         }
     }
 
@@ -108,43 +96,37 @@
 
     // One step of one module.
 
-    void step(const membership::event& event) {
-        pass_on(membership::reduce(state_.membership, at_, random_, event), caller_module::requests);
-    }
+    void step(const membership::event& event) { pass_on(membership::reduce(state_.membership, at_, random_, event)); }
     void step(const configuration::event& event) {
-        pass_on(configuration::reduce(state_.configuration, at_, random_, event), caller_module::configuration);
-    }
-    void step(const ownership::event& event) {
-        pass_on(ownership::reduce(state_.ownership, at_, random_, event), caller_module::ownership);
-    }
-    void step(const requests::event& event) {
-        pass_on(requests::reduce(state_.requests, at_, random_, event), caller_module::requests);
+        pass_on(configuration::reduce(state_.configuration, at_, random_, event));
     }
+    void step(const ownership::event& event) { pass_on(ownership::reduce(state_.ownership, at_, random_, event)); }
+    void step(const requests::event& event) { pass_on(requests::reduce(state_.requests, at_, random_, event)); }
 
     template <class Effects>
-    void pass_on(Effects effects, caller_module module) {
+    void pass_on(Effects effects) {
         for (auto& effect : effects) {
-            std::visit([&](auto& output) { pass_on_one(std::move(output), module); }, effect);
+            std::visit([&](auto& output) { pass_on_one(std::move(output)); }, effect);
         }
     }
 
     // Outputs that are inputs of other modules.
 
-    void pass_on_one(model::publish_fact output, caller_module) { to_membership(std::move(output)); }
+    void pass_on_one(model::publish_fact output) { to_membership(std::move(output)); }
 
-    void pass_on_one(const model::fact_learned& output, caller_module) {
+    void pass_on_one(const model::fact_learned& output) {
         to_configuration(output);
         to_ownership(output);
         to_requests(output);
     }
 
-    void pass_on_one(const model::members_changed& output, caller_module) {
+    void pass_on_one(const model::members_changed& output) {
         to_configuration(output);
         to_ownership(output);
         to_requests(output);
     }
 
-    void pass_on_one(const model::deployment_changed& output, caller_module) {
+    void pass_on_one(const model::deployment_changed& output) {
         to_membership(output);
         to_ownership(output);
         to_requests(output);
@@ -156,28 +138,18 @@
         effects_.emplace_back(output);
     }
 
-    void pass_on_one(const model::service_states_changed& output, caller_module) {
+    void pass_on_one(const model::service_states_changed& output) {
         to_ownership(output);
         to_requests(output);
     }
 
-    void pass_on_one(model::routes_changed output, caller_module) { to_requests(std::move(output)); }
-    void pass_on_one(model::home_leases_changed output, caller_module) { to_requests(std::move(output)); }
+    void pass_on_one(model::routes_changed output) { to_requests(std::move(output)); }
+    void pass_on_one(model::home_leases_changed output) { to_requests(std::move(output)); }
 
     // Outputs for the shells.
 
-    void pass_on_one(model::store_read output, caller_module module) {
-        output.operation = with_module(output.operation, module);
-        effects_.emplace_back(std::move(output));
-    }
-
-    void pass_on_one(model::store_transaction output, caller_module module) {
-        output.operation = with_module(output.operation, module);
-        effects_.emplace_back(std::move(output));
-    }
-
     template <class Output>
-    void pass_on_one(Output output, caller_module) {
+    void pass_on_one(Output output) {
         static_assert(is_alternative<Output, effect>, "an output is neither an input of a module nor an effect");
         effects_.emplace_back(std::move(output));
     }
--- a/source/requests/claim_ledger.hpp
+++ b/source/requests/claim_ledger.hpp
@@ -15,6 +15,9 @@
 
 namespace lovagetack::requests {
 
+/// Operation ids of this module start here, so that replies to other modules' calls are not taken for its own.
+inline constexpr std::uint64_t first_operation = 1ULL << 62U;
+
 /// One idempotency claim on its way to the store.
 struct claim {
     exchange_id exchange;
--- a/source/requests/claims.cpp
+++ b/source/requests/claims.cpp
@@ -18,7 +18,6 @@
 constexpr const char* idempotency_table = "idempotency";
 
 /// Operations of this module have this bit set, so that their numbers differ from those of the other modules.
-constexpr std::uint64_t operation_mark = 1ULL << 62U;
 
 std::string hexadecimal(std::uint64_t number) {
     std::array<char, 17> text{};
@@ -41,7 +40,7 @@
 
 model::operation_id next_operation(context& ctx) {
     ctx.state.claims.last_operation += 1;
-    return model::operation_id(operation_mark | ctx.state.claims.last_operation);
+    return model::operation_id(first_operation | ctx.state.claims.last_operation);
 }
 
 exchange* claiming_exchange(context& ctx, const claim& claim) {
--- a/source/service/instance.cpp
+++ b/source/service/instance.cpp
@@ -4,6 +4,8 @@
 #include <type_traits>
 #include <utility>
 
+#include <QCoreApplication>
+
 #include "base/key_hash.hpp"
 #include "service/status.hpp"
 
@@ -162,6 +164,11 @@
     for (const auto& effect : effects) {
         std::visit([this](const auto& output) { carry_out(output); }, effect);
     }
+    // A later run of the same name has taken over; two of them would answer for one instance.
+    if (state_.membership.is_superseded() && !shutting_down_) {
+        carry_out(model::timeline_entry{"instance_superseded", {}});
+        QTimer::singleShot(0, &tick_timer_, [this] { shut_down([] { QCoreApplication::exit(0); }); });
+    }
 }
 
 void instance::poll_homes() {
--- a/source/service/status.cpp
+++ b/source/service/status.cpp
@@ -108,12 +108,18 @@
 
 QJsonArray service_states_of(const core::state& state) {
     QJsonArray list;
-    for (const auto& order : configuration::orders_of(state.configuration)) {
-        list.append(QJsonObject{{"kind", text(model::subject_kind_name(order.state.kind))},
-                                {"name", text(order.state.name)},
-                                {"availability", name_of(order.state.availability)},
-                                {"stored", order.stored},
-                                {"superseded", order.superseded}});
+    const auto append = [&](const model::service_state& order, bool superseded) {
+        list.append(QJsonObject{{"kind", text(model::subject_kind_name(order.kind))},
+                                {"name", text(order.name)},
+                                {"availability", name_of(order.availability)},
+                                {"stored", order.row_version > 0},
+                                {"superseded", superseded}});
+    };
+    for (const auto& order : state.configuration.service_states()) {
+        append(order, false);
+    }
+    for (const auto& order : state.configuration.superseded()) {
+        append(order, true);
     }
     return list;
 }
@@ -124,6 +130,10 @@
         list.append("the table service does not answer: no configuration push, no move between data centres, no new "
                     "successor, no request with an idempotency key");
     }
+    if (const auto& rejected = state.configuration.rejected()) {
+        list.append(
+            text("configuration version " + std::to_string(rejected->version) + " was rejected: " + rejected->reason));
+    }
     if (!state.ready) {
         list.append("no configuration is known: callers are refused");
     }
