sequences: list new seeds for the controller that does not wait

The rule for adopted ranges changed the course of seed 20, in which the check found the missing waiting time before. Seed 4 with delays and seed 8 with pauses, both with lost messages, show it now, and both must.

--- a/tests/sequences/ownership_test.cpp
+++ b/tests/sequences/ownership_test.cpp
@@ -74,8 +74,10 @@
 TEST_CASE("the check finds a controller that activates successors without waiting") {
     ownership::limits limits;
     limits.activation_wait = 0ms;
-    const auto result = run(20, disturbance::frozen_server, disturbance::lost_messages, limits);
-    CHECK_FALSE(result.violations.empty());
+    const auto delayed = run(4, disturbance::lost_messages, disturbance::delayed_messages, limits);
+    CHECK_FALSE(delayed.violations.empty());
+    const auto paused = run(8, disturbance::lost_messages, disturbance::paused_instance, limits);
+    CHECK_FALSE(paused.violations.empty());
 }
 
 // The same for a controller that takes a lease as over before it is.
