--- a/tests/stand_ins/backend_command.cpp
+++ b/tests/stand_ins/backend_command.cpp
@@ -35,9 +35,12 @@
 }
 
 base::result<void> add_server(server_map& servers, const std::string& name, const std::string& text,
-                              const backend_settings& settings) {
+                              const backend_settings& settings, const std::string& records) {
     BOOST_OUTCOME_TRY(wanted, parse_address(text));
     auto server = std::make_unique<backend_server>(name, settings);
+    if (!records.empty()) {
+        BOOST_OUTCOME_TRYV(server->open_journal(records + '/' + name + ".records"));
+    }
     BOOST_OUTCOME_TRY(address, server->listen(wanted));
     print_listening(name, address);
     servers[name] = std::move(server);
@@ -54,7 +57,8 @@
     }
     server_map servers;
     for (std::size_t index = 0; index < names.size(); ++index) {
-        BOOST_OUTCOME_TRY(add_server(servers, names[index], addresses[index], settings));
+        BOOST_OUTCOME_TRY(
+            add_server(servers, names[index], addresses[index], settings, parsed["records"].as<std::string>()));
     }
     return servers;
 }
@@ -93,7 +97,9 @@
         "control", "HOST:PORT for /servers/NAME/control..., which counts as no server's connection",
         cxxopts::value<std::string>()->default_value(""))("checks-grants", "check lease, range and fence",
                                                           cxxopts::value<bool>()->default_value("false"))(
-        "settings", "JSON of backend_settings", cxxopts::value<std::string>()->default_value("{}"));
+        "settings", "JSON of backend_settings", cxxopts::value<std::string>()->default_value("{}"))(
+        "records", "folder for the files NAME.records of the execution records",
+        cxxopts::value<std::string>()->default_value(""));
     const auto parsed = options.parse(count, arguments);
     const QCoreApplication application(count, arguments);
     const auto servers = start_servers(parsed);
--- a/tests/stand_ins/backend_server.cpp
+++ b/tests/stand_ins/backend_server.cpp
@@ -273,6 +273,7 @@
         record.end = base::boot_clock::now();
         record.status = response.status;
         record.committed = committed;
+        journal_.write(record);
     }
     forget(job);
     job->exchange->answer(response);
@@ -301,6 +302,7 @@
     record.start = base::boot_clock::now();
     record.overloaded = job->overloaded;
     job->record = records_.size();
+    journal_.write(record);
     records_.push_back(std::move(record));
 }
 
--- a/tests/stand_ins/backend_server.hpp
+++ b/tests/stand_ins/backend_server.hpp
@@ -18,6 +18,7 @@
 #include "stand_ins/backend_settings.hpp"
 #include "stand_ins/cold_start.hpp"
 #include "stand_ins/delayed_calls.hpp"
+#include "stand_ins/execution_journal.hpp"
 #include "stand_ins/execution_record.hpp"
 #include "stand_ins/grant_holder.hpp"
 #include "stand_ins/http_server.hpp"
@@ -36,6 +37,9 @@
 
     [[nodiscard]] base::result<model::address> listen(const model::address& address) { return http_.listen(address); }
 
+    /// Writes the execution records to a file as well.
+    [[nodiscard]] base::result<void> open_journal(const std::string& file_name) { return journal_.open(file_name); }
+
     [[nodiscard]] const std::string& name() const { return name_; }
     [[nodiscard]] const backend_settings& settings() const { return settings_; }
     [[nodiscard]] const std::vector<execution_record>& records() const { return records_; }
@@ -82,6 +86,7 @@
     std::deque<job_pointer> queue_;
     std::vector<job_pointer> executing_;
     std::vector<execution_record> records_;
+    execution_journal journal_;
     lagging_load lagging_load_;
     delayed_calls delayed_;
     http_server http_;
