load: send a request at its planned time

Cause: request i was sent when i + 1 were due, so that every latency was too long by the time between two requests: at 40 requests/s the median was 29 ms where curl saw 2 ms. Change: a request is due at its own planned time.

--- a/source/load/load_runner.cpp
+++ b/source/load/load_runner.cpp
@@ -47,8 +47,7 @@
         return;
     }
     const double elapsed = std::chrono::duration<double>(clock::now() - start_).count();
-    const auto due = static_cast<std::uint64_t>(elapsed * plan_.rate);
-    while (sent_ < due) {
+    while (static_cast<double>(sent_) <= elapsed * plan_.rate) {
         const std::chrono::duration<double> planned(static_cast<double>(sent_) / plan_.rate);
         send_next(start_ + std::chrono::duration_cast<clock::duration>(planned));
     }
