cli, service: end gracefully on SIGTERM whatever thread receives it

Cause: threads of ZeroMQ and Qt were started before the signals were blocked, so that SIGTERM ended the process at once (exit 143, no shutdown event, no trace trailer). Ruled out: a second signal; the log had no shutdown_started. Change: the signals are blocked before the instance is created; the last messages to peers get 200 ms.

--- a/source/cli/serve_command.cpp
+++ b/source/cli/serve_command.cpp
@@ -1,4 +1,5 @@
-#include <iostream>
+#include <memory>
+#include <utility>
 
 #include <QCoreApplication>
 
@@ -27,12 +28,19 @@
     if (parsed.values().count("settings") == 0) {
         return usage_fault("--settings is missing");
     }
-    auto instance = create_instance(parsed.values()["settings"].as<std::string>());
-    if (!instance) {
-        return report(instance.error());
+    // The watcher blocks the signals, and threads that libraries start with the instance inherit that. Without it a
+    // signal that reaches such a thread ends the process at once.
+    std::unique_ptr<service::instance> instance;
+    const service::signal_watcher watcher([&instance] {
+        if (instance) {
+            instance->shut_down([] { QCoreApplication::exit(static_cast<int>(exit_code::done)); });
+        }
+    });
+    auto created = create_instance(parsed.values()["settings"].as<std::string>());
+    if (!created) {
+        return report(created.error());
     }
-    const service::signal_watcher watcher(
-        [&] { instance.value()->shut_down([] { QCoreApplication::exit(static_cast<int>(exit_code::done)); }); });
+    instance = std::move(created.value());
     return static_cast<exit_code>(QCoreApplication::exec());
 }
 
--- a/source/service/instance.cpp
+++ b/source/service/instance.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t timeline_entries = 8192;
 constexpr std::chrono::seconds unused_grant_connection_time{30};
 
+/// Sockets to peers close without delay at the end, so the last messages get this time to leave. A member fact that is
+/// lost makes the others wait for their failure detection.
+constexpr std::chrono::milliseconds farewell_time{200};
+
 /// Requests that are slower than this stand on the time line; all others only in the metrics.
 constexpr std::chrono::milliseconds slow_request{250};
 
@@ -256,7 +260,7 @@
     });
     executor_->stop([this, done] {
         carry_out(model::timeline_entry{"shutdown_finished", {}});
-        done();
+        QTimer::singleShot(farewell_time, &tick_timer_, done);
     });
 }
 
