serve: block SIGTERM before other threads start

Cause: the signal watcher blocked SIGTERM after the instance had been created, and with it threads of libraries. The system gave the signal to such a thread, which had it unblocked, and the default action ended the process at once. Change: the watcher is made before the instance, so that all threads inherit the block.

--- a/source/cli/serve_command.cpp
+++ b/source/cli/serve_command.cpp
@@ -1,4 +1,6 @@
 #include <iostream>
+#include <memory>
+#include <utility>
 
 #include <QCoreApplication>
 
@@ -27,12 +29,16 @@
     if (parsed.values().count("settings") == 0) {
         return usage_fault("--settings is missing");
     }
-    auto instance = create_instance(parsed.values()["settings"].as<std::string>());
-    if (!instance) {
-        return report(instance.error());
-    }
+    std::unique_ptr<service::instance> running;
+    // Made first, because it blocks the signals for this thread and for the threads that are started after it. A thread
+    // without the block, such as one of ZeroMQ, would take SIGTERM, whose default ends the process.
     const service::signal_watcher watcher(
-        [&] { instance.value()->shut_down([] { QCoreApplication::exit(static_cast<int>(exit_code::done)); }); });
+        [&] { running->shut_down([] { QCoreApplication::exit(static_cast<int>(exit_code::done)); }); });
+    auto created = create_instance(parsed.values()["settings"].as<std::string>());
+    if (!created) {
+        return report(created.error());
+    }
+    running = std::move(created.value());
     return static_cast<exit_code>(QCoreApplication::exec());
 }
 
