config push: print the version that the table service gave

Cause: the command printed the version before the push plus one. The table service chooses row versions itself, and the version in force everywhere else is that of the row configuration/version. Change: the version is read from the answer; the stored number, which nothing read and which could be wrong, is gone. Before: 'accepted version=2' while every instance and the table service had 18 (integration_configuration). After: the versions are the same.

--- a/source/cli/configuration_store.cpp
+++ b/source/cli/configuration_store.cpp
@@ -60,7 +60,7 @@
 QByteArray transaction(const stored_configuration& current, const stored_configuration& next, const QString& push) {
     const QJsonObject condition{
         {"table", table}, {"key", "version"}, {"version", static_cast<qint64>(current.version)}};
-    const QJsonObject version{{"number", static_cast<qint64>(current.version + 1)}, {"push", push}};
+    const QJsonObject version{{"push", push}};
     QJsonArray writes{write("version", QString::fromUtf8(QJsonDocument(version).toJson(QJsonDocument::Compact)))};
     if (next.base != current.base) {
         writes.append(write("base", QString::fromStdString(next.base)));
@@ -74,6 +74,17 @@
     return QJsonDocument(QJsonObject{{"conditions", QJsonArray{condition}}, {"writes", writes}}).toJson();
 }
 
+/// The new version of the row "version", which transaction() writes first. The table service chooses row versions, so
+/// it need not be the next number.
+base::result<std::uint64_t> accepted_version(const QByteArray& body) {
+    const auto version = QJsonDocument::fromJson(body).object().value("versions").toArray().at(0).toInteger(0);
+    if (version <= 0) {
+        return base::failure(base::result_code::platform_malformed_answer,
+                             "the table service took the push but named no version");
+    }
+    return static_cast<std::uint64_t>(version);
+}
+
 void append_difference(std::ostringstream& out, const std::string& name, const std::string& in_force,
                        const std::string& pushed) {
     const auto lines_of = [](const std::string& text) {
@@ -108,7 +119,7 @@
     const auto push = QUuid::createUuid().toString(QUuid::WithoutBraces);
     const auto answer = http_post(platform, "/v1/transactions", transaction(current, next, push));
     if (answer && answer.value().status == http_ok) {
-        return current.version + 1;
+        return accepted_version(answer.value().body);
     }
     // A conflict can be the second run of a call that took effect, and no answer says nothing; both are read back.
     BOOST_OUTCOME_TRY(marked, read_marked(platform));
