requests: judge a ramp step by the median of its answers

Cause: a step needed 20 answers in a row below twice the service's median latency. Of exponential service times one in four exceeds that, and with service times below a millisecond scheduling alone does, so that 12 backend servers stayed at 146 requests/s in all. Ruled out: the rate limit itself, which was far above; stragglers, since none were marked. Change: at least half of 20 answers must be below 5 ms or twice the median, and none may fail. The new test ends at rate 0 (no limit); the tests of the ramp's bounds pass unchanged. Conclusion: warm servers leave the ramp; the cold-restart measurement has to confirm that no server is overloaded.

--- a/source/requests/attempts.cpp
+++ b/source/requests/attempts.cpp
@@ -117,10 +117,12 @@
         restart_ramp(ctx, *server, "errors");
         return;
     }
-    const auto limit = 2 * service->median_of_servers;
-    const bool in_time = limit.count() == 0 || exchange.latency < limit;
-    const bool good = received.outcome == attempt_outcome::completed && !error && in_time;
-    server->ramp.count_answer(good, server->configuration.slots);
+    if (received.outcome != attempt_outcome::completed || error) {
+        server->ramp.count_error();
+        return;
+    }
+    const auto limit = std::max(2 * service->median_of_servers, ramp_latency_floor);
+    server->ramp.count_answer(exchange.latency < limit, server->configuration.slots);
 }
 
 void note_relay_answer(context& ctx, const exchange& exchange, const attempt_ended& received) {
--- a/source/requests/limits.hpp
+++ b/source/requests/limits.hpp
@@ -44,6 +44,9 @@
 inline constexpr std::int32_t ramp_first_rate = 20;
 inline constexpr std::int32_t ramp_last_rate = 2000;
 inline constexpr std::int32_t ramp_step_answers = 20;
+/// Answers below this are in time whatever the median of the service: with medians well under a millisecond, scheduling
+/// alone makes an answer take twice as long.
+inline constexpr std::chrono::microseconds ramp_latency_floor = std::chrono::milliseconds(5);
 /// A backend server first seen with this uptime counts as warm. The figure is a guess until servers are measured.
 inline constexpr std::chrono::microseconds warm_uptime = std::chrono::seconds(30);
 /// A new home trusts what it knows of the ramp for this long after the last observation.
--- a/source/requests/ramp.cpp
+++ b/source/requests/ramp.cpp
@@ -13,7 +13,8 @@
     limited_ = true;
     allowed_slots_ = 1;
     rate_ = ramp_first_rate;
-    good_in_a_row_ = 0;
+    answers_ = 0;
+    late_answers_ = 0;
 }
 
 std::int32_t ramp::slots(std::int32_t configured) const {
@@ -39,15 +40,26 @@
     counted_at_ = now;
 }
 
-void ramp::count_answer(bool good, std::int32_t configured_slots) {
+void ramp::count_error() {
+    answers_ = 0;
+    late_answers_ = 0;
+}
+
+void ramp::count_answer(bool in_time, std::int32_t configured_slots) {
     if (!limited_) {
         return;
     }
-    good_in_a_row_ = good ? good_in_a_row_ + 1 : 0;
-    if (good_in_a_row_ < ramp_step_answers) {
+    ++answers_;
+    late_answers_ += in_time ? 0 : 1;
+    if (answers_ < ramp_step_answers) {
+        return;
+    }
+    const bool median_in_time = late_answers_ * 2 <= answers_;
+    answers_ = 0;
+    late_answers_ = 0;
+    if (!median_in_time) {
         return;
     }
-    good_in_a_row_ = 0;
     rate_ *= 2;
     allowed_slots_ = std::min(allowed_slots_ + 1, configured_slots);
     limited_ = allowed_slots_ < configured_slots || rate_ <= ramp_last_rate;
--- a/source/requests/ramp.hpp
+++ b/source/requests/ramp.hpp
@@ -24,8 +24,11 @@
     [[nodiscard]] bool allows(base::boot_time now) const;
     /// Counts a request sent; call only when allows() is true.
     void count_sent(base::boot_time now);
-    /// Counts an answer: after enough good ones in a row the limits rise.
-    void count_answer(bool good, std::int32_t configured_slots);
+    /// Counts an answer without an error: after a number of them the limits rise, if at least half were in time. Single
+    /// late ones say nothing, since service times vary: of exponential ones a quarter exceeds twice the median.
+    void count_answer(bool in_time, std::int32_t configured_slots);
+    /// Counts a failure: the answers before it do not count any more.
+    void count_error();
 
 private:
     [[nodiscard]] double tokens_at(base::boot_time now) const;
@@ -33,7 +36,8 @@
     bool limited_ = true;
     std::int32_t allowed_slots_ = 1;
     std::int32_t rate_ = 20;
-    std::int32_t good_in_a_row_ = 0;
+    std::int32_t answers_ = 0;
+    std::int32_t late_answers_ = 0;
     double tokens_ = 1.0;
     base::boot_time counted_at_;
 };
--- a/tests/requests/limits_test.cpp
+++ b/tests/requests/limits_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <random>
 
 #include "fixture.hpp"
 #include "requests/latency_window.hpp"
@@ -97,6 +98,29 @@
     CHECK(sent_in[3] > sent_in[0]);
 }
 
+// Guards against a ramp that never ends: one answer in four of exponential service times exceeds twice the median, and
+// with 20 answers in a row in time as the condition, servers stayed at 12 requests a second each.
+TEST_CASE("the ramp of a server with varying service times ends") {
+    auto world = fixture::ready(1);
+    world.apply(backend_server_observed{fixture::id(board, 0), "boot-2", false, 0s});
+    std::mt19937_64 random(7);
+    std::exponential_distribution<double> service_time(1.0 / 4000.0);
+    for (int request = 0; request < 4000; ++request) {
+        world.request(board, true, 60s);
+        world.pass(std::chrono::microseconds(static_cast<std::int64_t>(service_time(random))));
+        const auto started = world.all<start_attempt>();
+        world.seen.clear();
+        for (const auto& attempt : started) {
+            attempt_ended done;
+            done.exchange = attempt.exchange;
+            done.attempt = attempt.attempt;
+            done.status = 200;
+            world.apply(done);
+        }
+    }
+    CHECK(backend_servers(world.state, world.now).front().ramp_rate == 0);
+}
+
 // Guards against a server that keeps its load after it said that it cannot bear it.
 TEST_CASE("a refused load or connection resets the ramp") {
     auto world = fixture::ready(1);
