measure: request path with warm backend servers

Cause: servers without service time stayed in the ramp. Change: the backend servers take 1 ms and are up for 31 s before the instances start; the page tells how many are in the ramp at the end.

--- a/tests/measure/deployment.cpp
+++ b/tests/measure/deployment.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+/// Above the router's bound of 30 s.
+constexpr std::chrono::seconds warm_uptime(31);
+
 std::string data_centre_name(int index) {
     return "dc-" + std::to_string(index + 1);
 }
@@ -71,6 +74,9 @@
     if (plan_.instances == 0) {
         return;
     }
+    if (plan_.starts_warm) {
+        pause_for(warm_uptime);
+    }
     push_configuration();
     start_instances();
     wait_until_served();
--- a/tests/measure/deployment.hpp
+++ b/tests/measure/deployment.hpp
@@ -35,6 +35,9 @@
     int servers_per_process = 12;
     /// False when the experiment drives the backend servers itself, without instances that poll grants.
     bool checks_grants = true;
+    /// Starts the instances only when the backend servers are up for so long that they count as warm (30 s), so that
+    /// the ramp is not measured.
+    bool starts_warm = false;
 };
 
 struct running_instance {
@@ -61,6 +64,7 @@
 
     [[nodiscard]] const deployment_plan& plan() const { return plan_; }
     [[nodiscard]] std::vector<running_instance>& instances() { return instances_; }
+    [[nodiscard]] const std::vector<running_instance>& instances() const { return instances_; }
     [[nodiscard]] std::vector<running_server>& servers() { return servers_; }
     [[nodiscard]] std::vector<harness::process>& backends() { return backends_; }
     [[nodiscard]] const std::string& platform() const { return platform_address_; }
--- a/tests/measure/request_path.cpp
+++ b/tests/measure/request_path.cpp
@@ -4,6 +4,8 @@
 #include <tuple>
 
 #include <QHostAddress>
+#include <QJsonArray>
+#include <QJsonObject>
 #include <QTcpSocket>
 
 #include "measure/deployment.hpp"
@@ -90,7 +92,8 @@
     plan.servers_per_process = 3;
     plan.initial_ranges = 64;
     plan.checks_grants = false;
-    plan.backend_settings = R"({"service_time_ms":0})";
+    plan.backend_settings = R"({"service_time_ms":1})";
+    plan.starts_warm = true;
     return plan;
 }
 
@@ -143,6 +146,19 @@
            number_text((all - first) / (all_connections - first_connections) / 1e3, 1) + " kB.\n";
 }
 
+/// Whether the ramp limits backend servers after all runs, else it and not the path would be measured.
+std::string ramp_text(const deployment& deployed) {
+    int limited = 0;
+    int all = 0;
+    const auto list = deployment::status(deployed.instances().front()).value("backend_servers").toArray();
+    for (const auto& entry : list) {
+        ++all;
+        limited += entry.toObject().value("usable_slots").toInt() < deployed.plan().slots ? 1 : 0;
+    }
+    return "Backend servers with fewer than 2 usable slots (in the ramp) at the end: " + std::to_string(limited) +
+           " of " + std::to_string(all) + ".\n";
+}
+
 void write_page(const std::vector<route>& routes, const std::string& memory) {
     table rows({"route", "throughput, 1/s", "processor, µs per request", "requests per core and s", "p50, ms",
                 "p99, ms", "p99.9, ms"});
@@ -176,13 +192,13 @@
         drawn.categories.push_back(way.name);
     }
     write_plot("request-path.svg", drawn.svg());
-    write_section(
-        "request-path", "The request path",
-        "12 backend servers without service time and without checks, in 4 processes; 2,000 keys, GET, an answer of "
-        "about 100 bytes. Throughput: closed loop over 12 connections, 2.5 s, one generator process. "
-        "Latency: `lovagetack load --rate 500`, counted from the planned send time, 3 s. Processor time is "
-        "`lovagetack_processor_seconds_total` of all instances on the route, control included.\n\n" +
-            rows.text() + "\n" + ratios.text() + "\n" + memory + "\n![latency](plots/request-path.svg)\n");
+    write_section("request-path", "The request path",
+                  "12 backend servers (service time 1 ms, 2 slots, up for 31 s so that they count as warm) without "
+                  "checks, in 4 processes; 2,000 keys, GET, an answer of "
+                  "about 100 bytes. Throughput: closed loop over 12 connections, 2.5 s, one generator process. "
+                  "Latency: `lovagetack load --rate 500`, counted from the planned send time, 3 s. Processor time is "
+                  "`lovagetack_processor_seconds_total` of all instances on the route, control included.\n\n" +
+                      rows.text() + "\n" + ratios.text() + "\n" + memory + "\n![latency](plots/request-path.svg)\n");
 }
 
 } // namespace
@@ -201,8 +217,9 @@
             std::cerr << way.name << ": " << way.throughput.back() << "/s, p99 " << way.p99.back() << " ms\n";
         }
     }
+    const auto ramps = ramp_text(deployed);
     const auto memory = measure_memory(deployed, deployed.instances().front());
-    write_page(routes, memory);
+    write_page(routes, ramps + "\n" + memory);
 }
 
 } // namespace lovagetack::measure
