ownership: record reason and epoch of a change in the row

Cause: explain knew the reason of a change only at the instance that wrote it. Others guessed "initial assignment" for epoch 1 and "failover" otherwise, which is wrong for moves, drains and rows written by a later controller.

Change: model::range_assignment has the fields reason and changed_in, written together with the new owner. A new successor alone leaves them unchanged; before, it was noted as a failover. model::change_reason replaces the enum of the same name in ownership and has the value not_known, which stands for an absent field. A reason from a newer version also reads as "not known". The changes kept in memory at the writer are gone. start_test names the enum by its new namespace; its check is the same.

Measured: test_ownership and test_sequences pass; the size of rows was not measured.

Conclusion: every instance that has the row gives the same explanation.

--- a/source/model/assignment.hpp
+++ b/source/model/assignment.hpp
@@ -9,6 +9,18 @@
 
 namespace lovagetack::model {
 
+/// Why a range is with its owner since its last change. Stored as a number: values are only added.
+enum class change_reason : std::uint8_t {
+    /// The row was written by a version that did not record it.
+    not_known = 0,
+    initial_assignment = 1,
+    failover = 2,
+    move = 3,
+    hot_key = 4,
+    balance = 5,
+    drain = 6,
+};
+
 /// Who owns a range of key hashes, and who will after a loss of the owner. Bounds are inclusive.
 struct range_assignment {
     std::uint64_t first = 0;
@@ -18,6 +30,9 @@
     /// Empty when the data centre has no other backend server.
     backend_server_id successor;
     model::fence successor_fence;
+    /// The last change of the range, and the epoch of the controller that made it.
+    change_reason reason = change_reason::not_known;
+    epoch changed_in;
 
     bool operator==(const range_assignment&) const = default;
 };
@@ -83,7 +98,9 @@
         make_field("owner", &model::range_assignment::owner),
         make_field("owner_fence", &model::range_assignment::owner_fence),
         make_field("successor", &model::range_assignment::successor),
-        make_field("successor_fence", &model::range_assignment::successor_fence));
+        make_field("successor_fence", &model::range_assignment::successor_fence),
+        make_field("reason", &model::range_assignment::reason),
+        make_field("changed_in", &model::range_assignment::changed_in));
 };
 
 template <>
--- a/source/ownership/assigning.cpp
+++ b/source/ownership/assigning.cpp
@@ -10,8 +10,6 @@
 namespace lovagetack::ownership {
 namespace {
 
-using noted_changes = std::vector<std::pair<model::service_id, recorded_change>>;
-
 struct initial_server {
     model::backend_server_id id;
     std::size_t data_centre = 0;
@@ -78,6 +76,8 @@
         entry.owner_fence = next_fence(state, entry, {});
         entry.successor = initial_successor(servers, owner, round);
         entry.successor_fence = next_fence(state, entry, {});
+        entry.reason = model::change_reason::initial_assignment;
+        entry.changed_in = state.epoch;
         rows[servers[owner].data_centre].ranges.push_back(std::move(entry));
     }
     return rows;
@@ -93,13 +93,7 @@
     if (rows.empty()) {
         return;
     }
-    noted_changes changes;
-    for (const auto& row : rows) {
-        for (const auto& entry : row.ranges) {
-            changes.push_back({service.id, {entry.first, entry.last, change_reason::initial_assignment, state.epoch}});
-        }
-    }
-    write_rows(step, std::move(rows), std::move(changes));
+    write_rows(step, std::move(rows));
 }
 
 /// One range of a row in the making.
@@ -116,20 +110,18 @@
 
     /// Whether the range needs other servers than the row has.
     bool repair() {
-        const bool drained = is_unwanted(step_.state, entry_.owner);
-        reason_ = drained ? change_reason::drain : change_reason::failover;
-        switch (unit_.standing) {
-        case standing::failed_over:
-        case standing::off_row:
-            return follow_holder();
-        case standing::with_owner:
-            break;
+        const auto old_owner = entry_.owner;
+        const bool drained = is_unwanted(step_.state, old_owner);
+        const bool changes = unit_.standing == standing::with_owner ? replace_lost() : follow_holder();
+        // A new successor alone does not change who owns the range.
+        if (changes && entry_.owner != old_owner) {
+            entry_.reason = drained ? model::change_reason::drain : model::change_reason::failover;
+            entry_.changed_in = step_.state.epoch;
         }
-        return replace_lost();
+        return changes;
     }
 
     [[nodiscard]] const model::range_assignment& entry() const { return entry_; }
-    [[nodiscard]] change_reason reason() const { return reason_; }
 
 private:
     bool follow_holder() {
@@ -183,35 +175,31 @@
     const unit& unit_;
     model::range_assignment entry_;
     model::fence floor_;
-    change_reason reason_ = change_reason::failover;
 };
 
 void repair_row(step& step, const model::service_id& service, const model::assignment& row) {
     const auto units = units_of(step.state, service, step.now);
     server_choice choice(step.state, service, row.data_centre, step.now);
     model::assignment next{row.service, row.data_centre, {}};
-    noted_changes changes;
+    bool any_changed = false;
     for (std::size_t at = 0; at < units.size();) {
         const auto entry = units[at].entry;
         std::vector<model::range_assignment> parts;
         bool changed = false;
         for (; at < units.size() && units[at].entry == entry; ++at) {
             entry_repair repair(step, choice, row.ranges[entry], units[at]);
-            const bool repaired = repair.repair();
+            changed = repair.repair() || changed;
             parts.push_back(repair.entry());
-            if (repaired) {
-                changed = true;
-                changes.push_back({service, {units[at].first, units[at].last, repair.reason(), step.state.epoch}});
-            }
         }
+        any_changed = any_changed || changed;
         if (changed) {
             next.ranges.insert(next.ranges.end(), parts.begin(), parts.end());
         } else {
             next.ranges.push_back(row.ranges[entry]);
         }
     }
-    if (!changes.empty()) {
-        write_rows(step, {std::move(next)}, std::move(changes));
+    if (any_changed) {
+        write_rows(step, {std::move(next)});
     }
 }
 
--- a/source/ownership/balance.cpp
+++ b/source/ownership/balance.cpp
@@ -76,8 +76,13 @@
     row.ranges.insert(row.ranges.begin() + static_cast<std::ptrdiff_t>(index) + 1, std::move(upper));
 }
 
+void note_reason(const step& step, model::range_assignment& entry, model::change_reason reason) {
+    entry.reason = reason;
+    entry.changed_in = step.state.epoch;
+}
+
 /// Gives the hottest key that has no range of its own one, when it has too much of its server's load.
-std::optional<recorded_change> isolate(const step& step, model::assignment& row, const row_load& load) {
+bool isolate(const step& step, model::assignment& row, const row_load& load) {
     for (const auto* report : fresh_reports(step)) {
         for (const auto& key : report->hot_keys) {
             const auto index = entry_of(row, key.hash);
@@ -96,16 +101,17 @@
                 cut(row, *index, key.hash + 1);
             }
             cut(row, *index, key.hash);
-            return recorded_change{key.hash, key.hash, change_reason::hot_key, step.state.epoch};
+            note_reason(step, row.ranges[*entry_of(row, key.hash)], model::change_reason::hot_key);
+            return true;
         }
     }
-    return std::nullopt;
+    return false;
 }
 
-std::optional<recorded_change> split(const step& step, model::assignment& row, const row_load& load) {
+bool split(const step& step, model::assignment& row, const row_load& load) {
     const auto most = std::max_element(load.entries.begin(), load.entries.end());
     if (most == load.entries.end()) {
-        return std::nullopt;
+        return false;
     }
     const auto index = static_cast<std::size_t>(most - load.entries.begin());
     const auto first = row.ranges[index].first;
@@ -115,10 +121,12 @@
     const bool full =
         row.ranges.size() >= step.state.rules.ranges_per_server * std::max<std::size_t>(1, load.servers.size());
     if (!heavy || full || first == last) {
-        return std::nullopt;
+        return false;
     }
     cut(row, index, first + (last - first) / 2 + 1);
-    return recorded_change{first, last, change_reason::balance, step.state.epoch};
+    note_reason(step, row.ranges[index], model::change_reason::balance);
+    note_reason(step, row.ranges[index + 1], model::change_reason::balance);
+    return true;
 }
 
 /// The entry of the most loaded server whose load is nearest to half of the difference to the least loaded one.
@@ -140,17 +148,17 @@
     return best;
 }
 
-std::optional<recorded_change> move(step& step, model::assignment& row, const row_load& load) {
+bool move(step& step, model::assignment& row, const row_load& load) {
     const auto less = [](const auto& left, const auto& right) { return left.second < right.second; };
     const auto most = std::max_element(load.servers.begin(), load.servers.end(), less);
     const auto least = std::min_element(load.servers.begin(), load.servers.end(), less);
     if (load.servers.size() < 2) {
-        return std::nullopt;
+        return false;
     }
     const bool uneven = most->second * load.servers.size() * 100 > load.total * step.state.rules.imbalance_percent;
     const auto index = best_entry(row, load, most->first, most->second - least->second);
     if (!uneven || !index || !is_usable(step.state, least->first, step.now) || !spend_move(step)) {
-        return std::nullopt;
+        return false;
     }
     auto& entry = row.ranges[*index];
     note(step, "range_moved",
@@ -164,8 +172,8 @@
     entry.owner_fence = next_fence(step.state, entry, {});
     entry.successor_fence = next_fence(step.state, entry, {});
     const bool single = entry.first == entry.last;
-    return recorded_change{entry.first, entry.last, single ? change_reason::hot_key : change_reason::balance,
-                           step.state.epoch};
+    note_reason(step, entry, single ? model::change_reason::hot_key : model::change_reason::balance);
+    return true;
 }
 
 /// Joins two neighbours with the same owner and little load when the row has more ranges than it needs. The joined
@@ -223,22 +231,12 @@
         if (load.total == 0) {
             continue;
         }
-        auto change = isolate(step, row, load);
-        if (!change) {
-            change = split(step, row, load);
-        }
-        if (!change) {
-            change = move(step, row, load);
-        }
-        const bool merged = !change && merge(step, row, load);
-        if (!change && !merged) {
+        const bool changed =
+            isolate(step, row, load) || split(step, row, load) || move(step, row, load) || merge(step, row, load);
+        if (!changed) {
             continue;
         }
-        std::vector<std::pair<model::service_id, recorded_change>> changes;
-        if (change) {
-            changes.push_back({service.id, *change});
-        }
-        write_rows(step, {std::move(row)}, std::move(changes));
+        write_rows(step, {std::move(row)});
         // Reports of the period in which the row changes would judge the new ranges by the old ones.
         state.loads.clear();
         state.next_balance_at = step.now + 2 * state.rules.balance_interval;
--- a/source/ownership/data_centres.cpp
+++ b/source/ownership/data_centres.cpp
@@ -11,8 +11,6 @@
 namespace lovagetack::ownership {
 namespace {
 
-using noted_changes = std::vector<std::pair<model::service_id, recorded_change>>;
-
 /// Servers of the service in the data centre that no operator took out.
 std::size_t servers_in_service(const state& state, const model::service_id& service,
                                const model::data_centre_id& data_centre) {
@@ -42,9 +40,24 @@
     return found == state.assignments.end() ? model::assignment{name.first, name.second, {}} : found->second.value;
 }
 
+model::fence highest_fence(const state& state, const model::service_id& service, const model::range_assignment& entry) {
+    model::fence highest;
+    const auto found = state.granted.find(service);
+    if (found == state.granted.end()) {
+        return highest;
+    }
+    for (const auto& piece : found->second) {
+        if (overlap(piece.first, piece.last, entry.first, entry.last)) {
+            highest = std::max(highest, piece.fence);
+        }
+    }
+    return highest;
+}
+
 /// Adds a range to a row, with servers of the row's data centre and fences above all former ones.
 bool add_range(step& step, model::assignment& row, server_choice& choice, model::range_assignment entry,
-               const model::fence& floor) {
+               model::change_reason reason) {
+    const auto floor = highest_fence(step.state, row.service, entry);
     const auto owner = choice.pick({});
     if (owner.empty()) {
         return false;
@@ -53,26 +66,14 @@
     entry.owner_fence = next_fence(step.state, entry, floor);
     entry.successor = choice.pick(owner);
     entry.successor_fence = next_fence(step.state, entry, floor);
+    entry.reason = reason;
+    entry.changed_in = step.state.epoch;
     const auto place = std::find_if(row.ranges.begin(), row.ranges.end(),
                                     [&](const auto& other) { return other.first > entry.first; });
     row.ranges.insert(place, std::move(entry));
     return true;
 }
 
-model::fence highest_fence(const state& state, const model::service_id& service, const model::range_assignment& entry) {
-    model::fence highest;
-    const auto found = state.granted.find(service);
-    if (found == state.granted.end()) {
-        return highest;
-    }
-    for (const auto& piece : found->second) {
-        if (overlap(piece.first, piece.last, entry.first, entry.last)) {
-            highest = std::max(highest, piece.fence);
-        }
-    }
-    return highest;
-}
-
 bool nobody_holds(const step& step, const model::service_id& service, const model::range_assignment& entry) {
     const auto& servers = step.state.servers;
     return std::none_of(servers.begin(), servers.end(), [&](const auto& known) {
@@ -84,7 +85,7 @@
 /// Moves the entries that `leaves` selects, and that nobody can execute any more, to one other data centre.
 template <class Selection>
 void move_entries(step& step, const model::service_id& service, const model::data_centre_id& destination,
-                  change_reason reason, Selection leaves) {
+                  model::change_reason reason, Selection leaves) {
     auto& state = step.state;
     const row_name to{service, destination};
     if (is_writing(state, {service, state.data_centre}) || is_writing(state, to)) {
@@ -94,19 +95,19 @@
     model::assignment kept{service, state.data_centre, {}};
     auto grown = row_value(state, to);
     server_choice choice(state, service, destination, step.now);
-    noted_changes changes;
+    bool changes = false;
     for (const auto& entry : own->value.ranges) {
-        const bool goes = leaves(entry) && nobody_holds(step, service, entry) &&
-                          add_range(step, grown, choice, entry, highest_fence(state, service, entry));
+        const bool goes =
+            leaves(entry) && nobody_holds(step, service, entry) && add_range(step, grown, choice, entry, reason);
         if (!goes) {
             kept.ranges.push_back(entry);
             continue;
         }
-        changes.push_back({service, {entry.first, entry.last, reason, state.epoch}});
+        changes = true;
         state.departures.push_back({service, entry.first, entry.last, destination, own->version});
     }
-    if (!changes.empty()) {
-        write_rows(step, {std::move(kept), std::move(grown)}, std::move(changes));
+    if (changes) {
+        write_rows(step, {std::move(kept), std::move(grown)});
     }
 }
 
@@ -114,10 +115,11 @@
     const auto targets = destinations(step.state, service);
     // The ranges go to each destination in turn, by the position of their first hash.
     for (std::size_t index = 0; index < targets.size(); ++index) {
-        move_entries(step, service, targets[index], change_reason::drain, [&](const model::range_assignment& entry) {
-            const auto hash = entry.first * 0x9E3779B97F4A7C15ULL;
-            return (hash >> 32U) % targets.size() == index;
-        });
+        move_entries(step, service, targets[index], model::change_reason::drain,
+                     [&](const model::range_assignment& entry) {
+                         const auto hash = entry.first * 0x9E3779B97F4A7C15ULL;
+                         return (hash >> 32U) % targets.size() == index;
+                     });
     }
 }
 
@@ -186,7 +188,7 @@
         state.departures.push_back(planned);
         state.departures.back().row_version = own_row(state, service)->version;
     }
-    move_entries(step, service, planned.destination, change_reason::move,
+    move_entries(step, service, planned.destination, model::change_reason::move,
                  [&](const auto& entry) { return entry.first == planned.first && entry.last == planned.last; });
 }
 
@@ -209,15 +211,13 @@
         }
         auto grown = row_value(state, {service, state.data_centre});
         server_choice choice(state, service, state.data_centre, step.now);
-        noted_changes changes;
         for (const auto& entry : from.ranges) {
-            if (!add_range(step, grown, choice, entry, highest_fence(state, service, entry))) {
+            if (!add_range(step, grown, choice, entry, model::change_reason::failover)) {
                 return;
             }
-            changes.push_back({service, {entry.first, entry.last, change_reason::failover, state.epoch}});
         }
         from.ranges.clear();
-        write_rows(step, {std::move(from), std::move(grown)}, std::move(changes));
+        write_rows(step, {std::move(from), std::move(grown)});
         return;
     }
 }
@@ -243,7 +243,7 @@
     if (!given_up || is_writing(state, {service, state.data_centre})) {
         return false;
     }
-    write_rows(step, {own}, {});
+    write_rows(step, {own});
     return true;
 }
 
--- a/source/ownership/explain.cpp
+++ b/source/ownership/explain.cpp
@@ -5,21 +5,6 @@
 namespace lovagetack::ownership {
 namespace {
 
-void explain_change(const state& state, const model::service_id& service, std::uint64_t hash, explanation& result) {
-    result.since = result.fence.epoch;
-    result.reason = result.fence.epoch == model::epoch(1) ? change_reason::initial_assignment : change_reason::failover;
-    const auto found = state.changes.find(service);
-    if (found == state.changes.end()) {
-        return;
-    }
-    for (const auto& change : found->second) {
-        if (change.first <= hash && hash <= change.last) {
-            result.since = change.epoch;
-            result.reason = change.reason;
-        }
-    }
-}
-
 void explain_active(const state& state, const model::service_id& service, std::uint64_t hash, explanation& result) {
     const auto* routes = routes_of(state, service);
     const auto* range = routes == nullptr ? nullptr : model::find_range(*routes, hash);
@@ -50,9 +35,10 @@
             result.successor = entry.successor;
             result.successor_fence = entry.successor_fence;
             result.row_version = known.version;
+            result.reason = entry.reason;
+            result.since = entry.changed_in;
         }
     }
-    explain_change(state, service, hash, result);
     explain_active(state, service, hash, result);
     return result;
 }
@@ -65,22 +51,25 @@
     return found->second.lease_bound;
 }
 
-std::string name_of(change_reason reason) {
+std::string name_of(model::change_reason reason) {
     switch (reason) {
-    case change_reason::initial_assignment:
+    case model::change_reason::not_known:
+        break;
+    case model::change_reason::initial_assignment:
         return "initial assignment";
-    case change_reason::failover:
+    case model::change_reason::failover:
         return "failover";
-    case change_reason::move:
+    case model::change_reason::move:
         return "move";
-    case change_reason::hot_key:
+    case model::change_reason::hot_key:
         return "hot key";
-    case change_reason::balance:
+    case model::change_reason::balance:
         return "balance";
-    case change_reason::drain:
+    case model::change_reason::drain:
         return "drain";
     }
-    return {};
+    // Also a reason that a newer version wrote.
+    return "not known";
 }
 
 } // namespace lovagetack::ownership
--- a/source/ownership/state.hpp
+++ b/source/ownership/state.hpp
@@ -70,7 +70,6 @@
     std::map<row_name, known_assignment> assignments;
     std::map<row_name, known_activation> activations;
     std::map<model::instance_id, known_load> loads;
-    std::map<model::service_id, std::vector<recorded_change>> changes;
 
     std::uint64_t record_version = 0;
     model::controller_record record;
@@ -165,13 +164,13 @@
     model::backend_server_id active_owner;
     model::fence active_fence;
     std::uint64_t row_version = 0;
-    /// Epoch of the controller that made the last change.
+    /// Epoch of the controller that made the last change; 0 when the reason is not known.
     model::epoch since;
-    change_reason reason = change_reason::initial_assignment;
+    model::change_reason reason = model::change_reason::not_known;
 };
 
 [[nodiscard]] explanation explain(const state& state, const model::service_id& service, std::uint64_t hash);
 
-[[nodiscard]] std::string name_of(change_reason reason);
+[[nodiscard]] std::string name_of(model::change_reason reason);
 
 } // namespace lovagetack::ownership
--- a/source/ownership/store.cpp
+++ b/source/ownership/store.cpp
@@ -341,7 +341,6 @@
 }
 
 void take_assignment_write(step& step, const store_operation& operation, const model::store_reply& reply) {
-    auto& state = step.state;
     for (std::size_t index = 0; index < operation.assignments.size() && index < reply.versions.size(); ++index) {
         const auto& row = operation.assignments[index];
         learn_assignment(step, reply.versions[index], row);
@@ -352,13 +351,6 @@
               {"version", std::to_string(reply.versions[index])},
               {"ranges", std::to_string(row.ranges.size())}});
     }
-    for (const auto& noted : operation.changes) {
-        const auto& change = noted.second;
-        auto& list = state.changes[noted.first];
-        std::erase_if(list,
-                      [&](const recorded_change& old) { return old.first >= change.first && old.last <= change.last; });
-        list.push_back(change);
-    }
 }
 
 void take_done(step& step, const store_operation& operation, const model::store_reply& reply) {
@@ -455,8 +447,7 @@
     });
 }
 
-void write_rows(step& step, std::vector<model::assignment> rows,
-                std::vector<std::pair<model::service_id, recorded_change>> changes) {
+void write_rows(step& step, std::vector<model::assignment> rows) {
     auto& state = step.state;
     model::store_transaction transaction;
     transaction.conditions.push_back({controllers_table, state.data_centre.value(), state.record_version});
@@ -469,7 +460,6 @@
     store_operation operation;
     operation.kind = operation_kind::write_assignments;
     operation.assignments = std::move(rows);
-    operation.changes = std::move(changes);
     transaction.operation = begin_operation(step, std::move(operation));
     step.effects.emplace_back(std::move(transaction));
 }
--- a/source/ownership/store.hpp
+++ b/source/ownership/store.hpp
@@ -20,8 +20,7 @@
 [[nodiscard]] bool is_writing(const state& state, const row_name& row);
 
 /// Writes rows in one transaction, under the condition that the controller is unchanged.
-void write_rows(step& step, std::vector<model::assignment> rows,
-                std::vector<std::pair<model::service_id, recorded_change>> changes);
+void write_rows(step& step, std::vector<model::assignment> rows);
 
 /// A fact of kind controller or assignment; a lower version than the known one is ignored.
 void learn_row_fact(step& step, const model::fact& fact);
--- a/tests/ownership/start_test.cpp
+++ b/tests/ownership/start_test.cpp
@@ -36,7 +36,7 @@
             CHECK(range->owner == executing.front()->server.id);
             const auto explanation = ownership::explain(node.state, model::service_id("board"), hash);
             CHECK(explanation.owner == range->owner);
-            CHECK(explanation.reason == ownership::change_reason::initial_assignment);
+            CHECK(explanation.reason == model::change_reason::initial_assignment);
         }
     }
 }
