ownership: test authority, witnesses and the move budget

Cause: no focused test covered the lease in the store of a data centre without witnesses, changes of the witness list, raise_epoch, failover of a service whose servers do not check grants, and the move budget in a data centre.

Change: tests for each; none of them showed a fault.

The other new tests were not tried on broken code.

Conclusion: the five behaviours are covered; an overlap of majorities when a claimant's witness list is two or more changes old is still possible.

--- /dev/null
+++ b/tests/ownership/authority_test.cpp
@@ -0,0 +1,137 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "ownership/cluster.hpp"
+
+namespace lovagetack {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::cluster;
+
+const model::service_id board("board");
+
+int controllers(const cluster& cluster) {
+    return static_cast<int>(std::count_if(cluster.nodes.begin(), cluster.nodes.end(), [&](const auto& entry) {
+        return !entry.second.dead && ownership::is_controller(entry.second.state, cluster.now);
+    }));
+}
+
+model::controller_record record_of(const cluster& cluster) {
+    model::controller_record record;
+    base::from_json_text(cluster.store.rows.at({"controllers", "a"}).value, record);
+    return record;
+}
+
+std::size_t served(cluster& cluster) {
+    std::size_t count = 0;
+    for (std::uint64_t hash = 0; hash < 64; ++hash) {
+        count += cluster.executing(hash << 58U).size();
+    }
+    return count;
+}
+
+// Guards against two controllers of a data centre without witnesses, and against none after a loss of the controller.
+TEST_CASE("without witnesses the lease in the store decides who controls") {
+    cluster cluster({.data_centres = {"a"}, .seed = 41, .checks_grants = false});
+    cluster.check = [&] { REQUIRE(controllers(cluster) <= 1); };
+    cluster.run(10s);
+    auto* first = cluster.controller("a");
+    REQUIRE(first != nullptr);
+    REQUIRE(record_of(cluster).witnesses.empty());
+    cluster.pause(*first, 8s);
+    cluster.run(7500ms);
+    REQUIRE(cluster.controller("a") != nullptr);
+    CHECK(cluster.controller("a") != first);
+    cluster.run(3s);
+    CHECK(cluster.controller("a") != first);
+}
+
+// Guards against a controller that goes on granting without being able to renew its lease in the store.
+TEST_CASE("without witnesses an outage of the store ends the authority") {
+    cluster cluster({.data_centres = {"a"}, .seed = 42, .checks_grants = false});
+    cluster.run(10s);
+    REQUIRE(cluster.controller("a") != nullptr);
+    cluster.store.up = false;
+    cluster.run(3100ms);
+    CHECK(cluster.controller("a") == nullptr);
+    cluster.store.up = true;
+    cluster.run(12s);
+    CHECK(cluster.controller("a") != nullptr);
+}
+
+// Guards against consecutive witness lists whose majorities share no server, and against drained servers that stay.
+TEST_CASE("witnesses are removed and added one at a time") {
+    cluster cluster({.data_centres = {"a"}, .servers = 5, .seed = 43});
+    cluster.run(6s);
+    auto last = record_of(cluster).witnesses;
+    REQUIRE(last.size() == 5);
+    const auto missing_in = [](const auto& list, const auto& other) {
+        return std::count_if(list.begin(), list.end(),
+                             [&](const auto& id) { return std::find(other.begin(), other.end(), id) == other.end(); });
+    };
+    cluster.after_transaction = [&] {
+        const auto next = record_of(cluster).witnesses;
+        REQUIRE(missing_in(last, next) + missing_in(next, last) <= 1);
+        last = next;
+    };
+    cluster.set_states({{model::subject_kind::backend_server, "a-s0", model::availability::drained, 0, 0ms},
+                        {model::subject_kind::backend_server, "a-s1", model::availability::drained, 0, 0ms}});
+    cluster.run(4s);
+    CHECK(last.size() == 3);
+    cluster.set_states({});
+    cluster.run(4s);
+    CHECK(last.size() == 5);
+    CHECK(served(cluster) == 64);
+}
+
+// Guards against a server that refuses the controller for good, since it accepted the epoch of a claim that failed.
+TEST_CASE("the controller takes an epoch above the one that a server has accepted") {
+    cluster cluster({.data_centres = {"a"}, .seed = 44});
+    cluster.run(6s);
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    auto* server = cluster.executing(12345).front();
+    server->epoch = model::epoch(50);
+    cluster.run(4s);
+    REQUIRE(cluster.controller("a") == controller);
+    CHECK(controller->state.epoch > model::epoch(50));
+    CHECK(server->epoch == controller->state.epoch);
+    CHECK(record_of(cluster).current_epoch == controller->state.epoch);
+    CHECK(served(cluster) == 64);
+}
+
+// Guards against a successor that serves while a request that the home instance sent under its lease still runs.
+TEST_CASE("failover of an unchecked server waits for the home lease and the longest deadline") {
+    cluster cluster({.data_centres = {"a"}, .seed = 45, .checks_grants = false});
+    cluster.run(10s);
+    const auto owner = [&]() -> model::backend_server_id {
+        const auto* routes = ownership::routes_of(cluster.controller("a")->state, board);
+        const auto* range = routes == nullptr ? nullptr : model::find_range(*routes, 12345);
+        return range == nullptr ? model::backend_server_id() : range->owner;
+    };
+    const auto lost = owner();
+    REQUIRE_FALSE(lost.empty());
+    base::boot_time leased_until;
+    bool moved = false;
+    cluster.check = [&] {
+        for (const auto& [id, node] : cluster.nodes) {
+            const auto found = node.state.home_leases.find(lost);
+            leased_until = found == node.state.home_leases.end() ? leased_until : std::max(leased_until, found->second);
+        }
+        const auto now_owner = owner();
+        if (!moved && !now_owner.empty() && now_owner != lost) {
+            moved = true;
+            REQUIRE(cluster.now >= leased_until + 1s);
+        }
+    };
+    cluster.run(10ms);
+    REQUIRE(leased_until > cluster.now);
+    cluster.servers.at(lost).down = true;
+    cluster.run(3s);
+    CHECK(moved);
+}
+
+} // namespace
+} // namespace lovagetack
--- a/tests/ownership/balance_test.cpp
+++ b/tests/ownership/balance_test.cpp
@@ -56,6 +56,25 @@
     }
 }
 
+// Guards against moves that follow each other as fast as reports come, each of which interrupts a range.
+TEST_CASE("moves within a data centre keep to their budget") {
+    cluster cluster({.data_centres = {"a"}, .seed = 24, .initial_ranges = 32});
+    cluster.run(4s);
+    const model::backend_server_id loaded("a-s0");
+    const auto moves = [&] { return cluster.controller("a")->entries["range_moved"]; };
+    // This load needs 3 moves; reports alone would allow one every 4 s.
+    std::vector<int> after_second = {moves()};
+    for (std::uint64_t sequence = 1; sequence <= 26; ++sequence) {
+        report(cluster, sequence, [&](const auto& entry) { return entry.owner == loaded ? 200U : 100U; }, {});
+        cluster.run(1s);
+        after_second.push_back(moves());
+    }
+    for (std::size_t second = 10; second < after_second.size(); ++second) {
+        CHECK(after_second[second] - after_second[second - 10] <= 2);
+    }
+    CHECK(after_second.back() == 3);
+}
+
 // Guards against a hot key that can't be moved since it shares a range with others.
 TEST_CASE("a hot key gets a range of its own without an interruption") {
     cluster cluster({.data_centres = {"a"}, .seed = 22});
