requests: let a request that cannot be sent again wait for its answer

Cause: a non-idempotent request that took 1.5 s on a service that answered in 1 ms before was answered 504 unknown after the silence limit, although it ran: a long execution cannot be told from a silent connection. Change: only what may be sent again is taken off a silent connection; the rest waits until its deadline. Conclusion: fewer unknown answers; a caller on a truly silent connection waits until its own deadline.

--- a/source/base/result_code.cpp
+++ b/source/base/result_code.cpp
@@ -36,8 +36,6 @@
         return "request_backend_server_unreachable";
     case result_code::request_answer_cut_short:
         return "request_answer_cut_short";
-    case result_code::request_connection_silent:
-        return "request_connection_silent";
     case result_code::request_caller_left:
         return "request_caller_left";
     case result_code::request_repeated:
--- a/source/base/result_code.hpp
+++ b/source/base/result_code.hpp
@@ -25,7 +25,6 @@
     request_backend_server_refused = 2010,
     request_backend_server_unreachable = 2011,
     request_answer_cut_short = 2012,
-    request_connection_silent = 2013,
     request_caller_left = 2014,
     request_repeated = 2015,
     request_claim_unavailable = 2016,
--- a/source/requests/silence.cpp
+++ b/source/requests/silence.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-using base::result_code;
-
 bool can_send_again(const exchange& exchange) {
     return exchange.request.idempotent && exchange.request.body_bytes <= resend_body_bytes;
 }
@@ -33,17 +31,11 @@
     if (service == nullptr || !exchange.sending || exchange.answering) {
         return;
     }
+    // What cannot be sent again goes on until its deadline: a request that takes long looks like a silent connection,
+    // and an early "unknown" would deny its caller the answer.
     if (can_send_again(exchange)) {
         send_again(ctx, exchange, *service);
-        return;
     }
-    // An idempotent request with a long body cannot be sent again; its attempt goes on until the deadline.
-    if (exchange.request.idempotent) {
-        return;
-    }
-    stop_attempt(ctx, exchange);
-    answer(ctx, exchange,
-           {504, result_code::request_connection_silent, outcome::unknown, {}, "the connection went silent"});
 }
 
 /// Requests sent to the backend server itself that have had no answer for the limit.
