measure: check that an order to drain took effect

Change: data-centre-drain ends with an error when /status doesn't show the order. request-path names backend servers by the rate limit of their ramp.

--- a/tests/measure/data_centre_drain.cpp
+++ b/tests/measure/data_centre_drain.cpp
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <iostream>
 #include <map>
+#include <stdexcept>
 #include <tuple>
 
 #include <QJsonArray>
@@ -58,6 +60,13 @@
     return times;
 }
 
+bool is_drained(const deployment& deployed) {
+    const auto states = deployment::status(deployed.instances().front()).value("service_states").toArray();
+    return std::any_of(states.begin(), states.end(), [](const QJsonValue& entry) {
+        return entry.toObject().value("name") == drained && entry.toObject().value("availability") == "drained";
+    });
+}
+
 run_result run_once() {
     deployment_plan plan;
     plan.name = "drain";
@@ -78,17 +87,23 @@
     recorded_load load({callers, path, rate, load_time});
     run_result result;
     const auto order = [&](const std::string& word) {
-        run_lovagetack({word, "data-centre", drained, "--at", deployed.instances().front().operators},
-                       deployed.folder());
+        const auto printed = run_lovagetack(
+            {word, "data-centre", drained, "--at", deployed.instances().front().operators}, deployed.folder());
+        std::cerr << word << " at " << load.now() << " s: " << printed << '\n';
     };
+    bool took_effect = false;
     result.answers = load.run([&] {
         pause_for(leaves_after);
         result.drained_at = load.now();
         order("drain");
         pause_for(returns_after - leaves_after);
+        took_effect = is_drained(deployed);
         result.returned_at = load.now();
         order("undrain");
     });
+    if (!took_effect) {
+        throw std::runtime_error("the order to drain is not in /status");
+    }
     result.executions = executions_of(deployed, deployed.servers(), load.start());
     return result;
 }
--- a/tests/measure/request_path.cpp
+++ b/tests/measure/request_path.cpp
@@ -153,10 +153,11 @@
     const auto list = deployment::status(deployed.instances().front()).value("backend_servers").toArray();
     for (const auto& entry : list) {
         ++all;
-        limited += entry.toObject().value("usable_slots").toInt() < deployed.plan().slots ? 1 : 0;
+        // A ramp without a limit has the rate 0.
+        limited += entry.toObject().value("ramp_rate").toInt() > 0 ? 1 : 0;
     }
-    return "Backend servers with fewer than 2 usable slots (in the ramp) at the end: " + std::to_string(limited) +
-           " of " + std::to_string(all) + ".\n";
+    return "Backend servers whose rate the ramp still limits at the end: " + std::to_string(limited) + " of " +
+           std::to_string(all) + ".\n";
 }
 
 void write_page(const std::vector<route>& routes, const std::string& memory) {
