--- a/tests/measure/plot.cpp
+++ b/tests/measure/plot.cpp
@@ -58,7 +58,7 @@
         y_end_ = std::max(y_step_, std::ceil(highest_y / y_step_ * 1.04) * y_step_);
         x_step_ = step_of(highest_x);
         x_start_ = plot_.categories.empty() ? 0 : -0.5;
-        x_end_ = plot_.categories.empty() ? std::max(highest_x, x_step_)
+        x_end_ = plot_.categories.empty() ? std::max(highest_x * 1.04, x_step_)
                                           : static_cast<double>(plot_.categories.size()) - 0.5;
     }
 
