--- a/tests/measure/cold_restart.cpp
+++ b/tests/measure/cold_restart.cpp
@@ -104,6 +104,7 @@
     write_section("cold-restart", "Cold restart of a backend server under load",
                   "One of 6 backend servers (service not divided by key, 2 ms, 2 slots) restarts cold after 1 s of 900 "
                   "requests/s: it bears 40 requests/s at first, 2,000/s after 4,000 answers, and fails what is beyond. "
+                  "With the stand-in's default (warm after 200 answers) neither way overloaded it in 3 runs. "
                   "3 instances; round robin goes directly to the backend servers.\n\n" +
                       rows.text() + "\n![overloaded executions](plots/cold-restart.svg)\n");
 }
