ownership: balance only on enough requests, and show what is done

Cause: with a row's load of 2 requests in a report period, the key of one of them got a range of its own; splits and isolated keys were not on the time line, so that the balance looked idle. Ruled out: missing reports; a replayed trace showed them arriving and rows being written. Change: below 100 requests in the reports nothing is balanced; hot_key_isolated and range_split are time line events.

--- a/source/ownership/balance.cpp
+++ b/source/ownership/balance.cpp
@@ -82,7 +82,7 @@
 }
 
 /// Gives the hottest key that has no range of its own one, when it has too much of its server's load.
-bool isolate(const step& step, model::assignment& row, const row_load& load) {
+bool isolate(step& step, model::assignment& row, const row_load& load) {
     for (const auto* report : fresh_reports(step)) {
         for (const auto& key : report->hot_keys) {
             const auto index = entry_of(row, key.hash);
@@ -101,14 +101,21 @@
                 cut(row, *index, key.hash + 1);
             }
             cut(row, *index, key.hash);
-            note_reason(step, row.ranges[*entry_of(row, key.hash)], model::change_reason::hot_key);
+            auto& isolated = row.ranges[*entry_of(row, key.hash)];
+            note_reason(step, isolated, model::change_reason::hot_key);
+            note(step, "hot_key_isolated",
+                 {{"service", row.service.value()},
+                  {"first", std::to_string(isolated.first)},
+                  {"last", std::to_string(isolated.last)},
+                  {"owner", isolated.owner.value()},
+                  {"requests", std::to_string(key.count)}});
             return true;
         }
     }
     return false;
 }
 
-bool split(const step& step, model::assignment& row, const row_load& load) {
+bool split(step& step, model::assignment& row, const row_load& load) {
     const auto most = std::max_element(load.entries.begin(), load.entries.end());
     if (most == load.entries.end()) {
         return false;
@@ -124,6 +131,8 @@
         return false;
     }
     cut(row, index, first + (last - first) / 2 + 1);
+    note(step, "range_split",
+         {{"service", row.service.value()}, {"first", std::to_string(first)}, {"last", std::to_string(last)}});
     note_reason(step, row.ranges[index], model::change_reason::balance);
     note_reason(step, row.ranges[index + 1], model::change_reason::balance);
     return true;
@@ -228,7 +237,7 @@
         }
         auto row = known->value;
         const auto load = load_of(step, row);
-        if (load.total == 0) {
+        if (load.total < state.rules.balance_requests) {
             continue;
         }
         const bool changed =
--- a/source/ownership/limits.hpp
+++ b/source/ownership/limits.hpp
@@ -59,6 +59,9 @@
     std::size_t imbalance_percent = 125;
     /// A key with more than this share of its server's load gets a range of its own.
     std::size_t hot_key_percent = 10;
+    /// Fewer requests than this in the reports say nothing about the distribution of the load: a key that was asked for
+    /// twice in an idle period got a range of its own.
+    std::uint64_t balance_requests = 100;
     /// A range with more than this many percent of the average load of a range is split.
     std::size_t split_percent = 200;
     /// A row keeps at most this many ranges per backend server; adjacent ranges are merged above it.
