requests, cli: refuse callers before the configuration is known, and show ranges on a key's time line

Cause: an instance that had just started answered 404 'service unknown' for every service (seen on a time line), and the key filter looked for a field that events of ranges do not have. Change: 503 instance_not_ready, not run, with retry-after; the filter reads first and last. Conclusion: a caller at a starting instance knows to come back.

--- a/source/cli/timeline_page.cpp
+++ b/source/cli/timeline_page.cpp
@@ -26,15 +26,14 @@
     return {};
 }
 
-/// The field `range` has the form "first-last" with decimal hashes.
-bool range_contains(const std::string& range, std::uint64_t hash) {
-    const auto dash = range.find('-');
-    if (dash == std::string::npos) {
+/// Events of ranges have the fields `first` and `last`, decimal hashes.
+bool has_range_with(const telemetry::stamped_entry& entry, std::uint64_t hash) {
+    const auto first = value_of(entry, "first");
+    const auto last = value_of(entry, "last");
+    if (first.empty() || last.empty()) {
         return false;
     }
-    const auto first = QString::fromStdString(range.substr(0, dash)).toULongLong();
-    const auto last = QString::fromStdString(range.substr(dash + 1)).toULongLong();
-    return first <= hash && hash <= last;
+    return QString::fromStdString(first).toULongLong() <= hash && hash <= QString::fromStdString(last).toULongLong();
 }
 
 std::string time_text(std::uint64_t stamp) {
@@ -64,8 +63,7 @@
     if (!request.empty() && value_of(entry, "request") != request) {
         return false;
     }
-    return key.empty() || value_of(entry, "key") == key ||
-           range_contains(value_of(entry, "range"), base::key_hash(key));
+    return key.empty() || value_of(entry, "key") == key || has_range_with(entry, base::key_hash(key));
 }
 
 std::string timeline_text(const std::vector<telemetry::stamped_entry>& entries) {
--- a/source/cli/timeline_page.hpp
+++ b/source/cli/timeline_page.hpp
@@ -10,8 +10,8 @@
 /// Entries of several instances, sorted by stamp and then by instance.
 void sort_causally(std::vector<telemetry::stamped_entry>& entries);
 
-/// True when a field `key` or `range` (first-last, of key hashes) or `request` of the entry fits the filters; an empty
-/// filter fits everything. Entries without such a field are kept only when both filters are empty.
+/// True when the entry has the key, or a range from `first` to `last` that contains the key's hash, and has the
+/// request; an empty filter fits everything.
 [[nodiscard]] bool fits(const telemetry::stamped_entry& entry, const std::string& key, const std::string& request);
 
 /// One line per entry: time, instance, event and its fields.
--- a/source/requests/placement.cpp
+++ b/source/requests/placement.cpp
@@ -83,6 +83,14 @@
     exchange.arrived = ctx.now;
     exchange.deadline = ctx.now;
     auto* service = ctx.service(request.service);
+    const bool knows_services = std::any_of(ctx.state.services.begin(), ctx.state.services.end(),
+                                            [](const auto& entry) { return entry.second.configured; });
+    if (!knows_services) {
+        answer(ctx, exchange,
+               {503, result_code::instance_not_ready, outcome::not_run, default_retry_after,
+                "no configuration is known yet"});
+        return;
+    }
     if (service == nullptr || !service->configured) {
         answer(ctx, exchange,
                {404, result_code::request_service_unknown, outcome::not_run, {}, "the service is not known"});
--- a/tests/cli/timeline_page_test.cpp
+++ b/tests/cli/timeline_page_test.cpp
@@ -31,10 +31,11 @@
 // Guards against a grant of a key's range missing from the key's time line.
 TEST_CASE("a key's filter keeps the events of its ranges") {
     const auto hash = base::key_hash("cart-7");
-    const auto around = std::to_string(hash - 1) + '-' + std::to_string(hash + 1);
-    const auto above = std::to_string(hash + 1) + '-' + std::to_string(hash + 2);
-    CHECK(fits(entry(1, "a", "range_activated", {{"range", around}}), "cart-7", ""));
-    CHECK_FALSE(fits(entry(1, "a", "range_activated", {{"range", above}}), "cart-7", ""));
+    const auto range = [](std::uint64_t first, std::uint64_t last) {
+        return entry(1, "a", "range_activated", {{"first", std::to_string(first)}, {"last", std::to_string(last)}});
+    };
+    CHECK(fits(range(hash - 1, hash + 1), "cart-7", ""));
+    CHECK_FALSE(fits(range(hash + 1, hash + 2), "cart-7", ""));
     CHECK(fits(entry(1, "a", "request_finished", {{"key", "cart-7"}, {"request", "r1"}}), "cart-7", "r1"));
     CHECK_FALSE(fits(entry(1, "a", "request_finished", {{"key", "cart-7"}, {"request", "r1"}}), "cart-7", "r2"));
 }
--- a/tests/requests/outcome_test.cpp
+++ b/tests/requests/outcome_test.cpp
@@ -135,6 +135,17 @@
     CHECK(requests_in_flight(world.state) == 0);
 }
 
+// Guards against a caller that takes its service for gone because the instance has just started.
+TEST_CASE("before the configuration is known requests are refused, not unknown") {
+    fixture world;
+    const auto early = world.request(board, true);
+    REQUIRE(world.answer_of(early));
+    CHECK(world.answer_of(early)->status == 503);
+    CHECK(world.answer_of(early)->code == number_of(result_code::instance_not_ready));
+    CHECK(world.answer_of(early)->outcome == outcome::not_run);
+    CHECK(world.answer_of(early)->retry_after > 0s);
+}
+
 // Guards against a server that is condemned, or a caller that waits, because one open connection went silent.
 TEST_CASE("a silent connection is replaced without condemning the server") {
     auto world = fixture::ready(1);
