sequences: compute the seed in the type it has

Cause: the linter found a cast after an int computation. Change: the operands are converted; the seeds are the same numbers.

--- a/tests/sequences/ownership_test.cpp
+++ b/tests/sequences/ownership_test.cpp
@@ -64,7 +64,8 @@
 TEST_CASE("ownership holds and recovers under each pair of disturbances") {
     for (int first = 1; first < testing::disturbance_count; ++first) {
         for (int second = first; second < testing::disturbance_count; ++second) {
-            check_run(static_cast<std::uint64_t>(10000 + 100 * first + second), first, second);
+            check_run(10000 + 100 * static_cast<std::uint64_t>(first) + static_cast<std::uint64_t>(second), first,
+                      second);
         }
     }
 }
