settings: state the size in the test as one number

Cause: the linter found a multiplication that is widened afterwards. Change: the literal is written out; the check is the same. Conclusion: lint clean.

--- a/tests/settings/deployment_parser_test.cpp
+++ b/tests/settings/deployment_parser_test.cpp
@@ -37,7 +37,7 @@
     REQUIRE(deployment.backend_servers.size() == 2);
     CHECK(deployment.version == 9);
     CHECK(deployment.services[0].default_deadline == std::chrono::milliseconds(700));
-    CHECK(deployment.services[0].maximum_body_bytes == 1024 * 1024);
+    CHECK(deployment.services[0].maximum_body_bytes == 1'048'576);
     CHECK(deployment.backend_servers[0].slots == 3);
     CHECK(deployment.backend_servers[1].slots == 4);
     CHECK(deployment.backend_servers[0].address.port == 9001);
