--- a/source/cli/command.cpp
+++ b/source/cli/command.cpp
@@ -13,6 +13,7 @@
 
 constexpr auto commands = std::to_array<command>({
     {"serve", "run an entry instance", run_serve},
+    {"gateway", "run an entry instance on the operators' platform", run_gateway},
     {"config", "check or push the configuration (config check, config push)", run_config},
     {"status", "show what an instance knows: versions, owners, members, lags", run_status},
     {"drain", "take a data centre, an instance or a backend server out of service", run_drain},
--- a/source/cli/command.hpp
+++ b/source/cli/command.hpp
@@ -50,6 +50,7 @@
 int run(int argument_count, char** argument_values);
 
 exit_code run_serve(const arguments& words);
+exit_code run_gateway(const arguments& words);
 exit_code run_config(const arguments& words);
 exit_code run_status(const arguments& words);
 exit_code run_drain(const arguments& words);
--- /dev/null
+++ b/source/gateway/attempt.cpp
@@ -0,0 +1,196 @@
+#include "gateway/attempt.hpp"
+
+#include <utility>
+
+#include "http/error_body.hpp"
+#include "http/header_rules.hpp"
+
+namespace lovagetack::gateway {
+namespace {
+
+/// A request that must not be sent twice takes a connection that was used within this time: the longer a connection was
+/// idle, the likelier the server has dropped it.
+constexpr auto recent_use = std::chrono::milliseconds(2500);
+
+constexpr int misdirected = 421;
+
+} // namespace
+
+attempt::attempt(owner& relay, exchange& request, routing::send_request effect, http::connection_pool& pool,
+                 const dialect_port& dialect)
+    : owner_(relay), exchange_(request), effect_(std::move(effect)), pool_(pool), dialect_(dialect) {
+    ended_.exchange = effect_.exchange;
+    ended_.attempt = effect_.attempt;
+}
+
+attempt::~attempt() {
+    drop();
+}
+
+void attempt::drop() {
+    over_ = true;
+    pool_.forget(*this);
+    if (connection_) {
+        connection_->abort();
+        release();
+    }
+}
+
+void attempt::begin() {
+    pool_.acquire(*this, false, effect_.recent_connection ? recent_use : http::connection_pool::idle_time);
+}
+
+void attempt::connection_ready(const std::shared_ptr<http::client_connection>& connection) {
+    connection_ = connection;
+    std::string text;
+    text.reserve(exchange_.head.size() + exchange_.body.size() + 256);
+    text.append(exchange_.head);
+    dialect_.append_attempt_fields(text, effect_);
+    if (exchange_.has_body) {
+        http::append_field(text, "Content-Length", static_cast<std::uint64_t>(exchange_.body.size()));
+    }
+    text.append("\r\n").append(exchange_.body);
+    connection_->start(*this, exchange_.is_head, text);
+    connection_->end_request();
+    ended_.reused_connection = connection_->was_used_before();
+    owner_.attempt_sent({effect_.exchange, effect_.attempt});
+}
+
+void attempt::connection_failed() {
+    end(routing::attempt_outcome::not_connected);
+}
+
+bool attempt::is_own_answer(const http::client_connection::answer& header) {
+    const auto told = dialect_.read(header).request;
+    return told.empty() || told == exchange_.header.request;
+}
+
+void attempt::answer_started(const http::client_connection::answer& header, bool chunked, bool has_body) {
+    header_seen_ = true;
+    header_ = dialect_.read(header);
+    ended_.status = static_cast<int>(header.result_int());
+    ended_.load = header_.load;
+    answer_.status = ended_.status;
+    answer_.reason = {header.reason().data(), header.reason().size()};
+    answer_.lines = dialect_.answer_fields(header);
+    const auto length = http::content_length(header);
+    if (chunked) {
+        framing_ = http::body_framing::chunked;
+    } else if (length) {
+        framing_ = http::body_framing::length;
+    } else {
+        framing_ = has_body ? http::body_framing::until_close : http::body_framing::none;
+    }
+    length_ = length.value_or(0);
+}
+
+void attempt::start_passing() {
+    passing_ = true;
+    exchange_.caller->start_answer(answer_.status, answer_.reason, answer_.lines, framing_, length_);
+}
+
+void attempt::answer_body(std::string_view bytes) {
+    if (!passing_) {
+        answer_.body.append(bytes);
+        if (answer_.body.size() <= collected_bytes || outcome_of_whole() != routing::attempt_outcome::delivered) {
+            return;
+        }
+        start_passing();
+        bytes = answer_.body;
+    }
+    exchange_.caller->answer_body(bytes);
+    answer_.body.clear();
+    if (exchange_.caller->unsent() >= http::stream_buffer_bytes) {
+        exchange_.caller->flush();
+    }
+    if (exchange_.caller->unsent() >= http::stream_buffer_bytes) {
+        connection_->pause_answer();
+    }
+}
+
+void attempt::answer_pause() {
+    if (passing_ && exchange_.caller) {
+        exchange_.caller->flush();
+    }
+}
+
+void attempt::caller_writable() {
+    if (connection_) {
+        connection_->resume_answer();
+    }
+}
+
+routing::attempt_outcome attempt::outcome_of_whole() const {
+    using routing::attempt_outcome;
+    const bool other_server = !header_.server.empty() && header_.server != effect_.server.value();
+    if (answer_.status == misdirected) {
+        return other_server ? attempt_outcome::wrong_server : attempt_outcome::no_key;
+    }
+    if (header_.not_run) {
+        return attempt_outcome::not_run;
+    }
+    if (!header_.is_signed || header_.encoded) {
+        return attempt_outcome::invalid_answer;
+    }
+    return answer_.status >= 500 ? attempt_outcome::failed : attempt_outcome::delivered;
+}
+
+void attempt::answer_ended() {
+    const auto outcome = outcome_of_whole();
+    if (outcome == routing::attempt_outcome::delivered) {
+        if (!passing_) {
+            // The whole body is here, so its length can be told whatever the server did.
+            if (framing_ == http::body_framing::chunked || framing_ == http::body_framing::until_close) {
+                framing_ = http::body_framing::length;
+                length_ = answer_.body.size();
+            }
+            start_passing();
+            exchange_.caller->answer_body(answer_.body);
+        }
+        const auto caller = std::exchange(exchange_.caller, nullptr);
+        caller->set_tag(0);
+        caller->end_answer();
+    } else if (outcome == routing::attempt_outcome::failed) {
+        exchange_.failure = std::make_unique<kept_answer>(std::move(answer_));
+    }
+    end(outcome);
+}
+
+void attempt::answer_failed(http::client_connection::failure reason) {
+    using failure = http::client_connection::failure;
+    if (passing_) {
+        const auto caller = std::exchange(exchange_.caller, nullptr);
+        caller->set_tag(0);
+        caller->flush();
+        caller->abort();
+        end(routing::attempt_outcome::cut_short);
+        return;
+    }
+    if (header_seen_) {
+        const auto outcome = outcome_of_whole();
+        if (outcome != routing::attempt_outcome::delivered && outcome != routing::attempt_outcome::failed) {
+            // The header said all there is to know.
+            end(outcome);
+            return;
+        }
+    }
+    end(reason == failure::malformed ? routing::attempt_outcome::invalid_answer
+                                     : routing::attempt_outcome::connection_lost);
+}
+
+void attempt::end(routing::attempt_outcome outcome) {
+    if (std::exchange(over_, true)) {
+        return;
+    }
+    ended_.outcome = outcome;
+    release();
+    owner_.attempt_over(exchange_, ended_);
+}
+
+void attempt::release() {
+    if (connection_) {
+        pool_.release(std::exchange(connection_, nullptr));
+    }
+}
+
+} // namespace lovagetack::gateway
--- /dev/null
+++ b/source/gateway/operators_server.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "base/result.hpp"
+#include "gateway/ports.hpp"
+#include "http/server.hpp"
+
+namespace lovagetack::gateway {
+
+/// Answers the balancer's question whether the instance takes connections, and serves metrics.
+class operators_server final : private http::server_connection::handler {
+public:
+    struct questions {
+        std::function<bool()> is_ready;
+        std::function<std::string()> metrics;
+    };
+
+    operators_server(const dialect_port& dialect, questions questions);
+
+    base::result<void> listen(const model::address& address) { return server_.listen(address); }
+
+private:
+    void request_started(http::server_connection& connection) override;
+    void request_body(http::server_connection& /*connection*/, std::string_view /*bytes*/) override {}
+    void request_body_ended(http::server_connection& /*connection*/) override {}
+    void answer_writable(http::server_connection& /*connection*/) override {}
+    void caller_left(http::server_connection& /*connection*/) override {}
+
+    const dialect_port& dialect_;
+    questions questions_;
+    http::server server_;
+};
+
+} // namespace lovagetack::gateway
--- /dev/null
+++ b/source/gateway/relay.cpp
@@ -0,0 +1,184 @@
+#include "gateway/relay.hpp"
+
+#include "http/error_body.hpp"
+
+namespace lovagetack::gateway {
+namespace {
+
+/// A connection to a backend server that does not open within this time will hardly open any more: the server's queue
+/// of new connections is full, or it cannot be reached.
+constexpr auto open_time = std::chrono::milliseconds(300);
+
+http::server_limits server_limits(std::size_t connections) {
+    http::server_limits limits;
+    limits.connections = connections;
+    return limits;
+}
+
+} // namespace
+
+relay::relay(const dialect_port& dialect, event_handler on_event, std::size_t caller_connections)
+    : dialect_(dialect), on_event_(std::move(on_event)), server_(*this, server_limits(caller_connections)) {}
+
+relay::~relay() {
+    ended_.clear();
+    exchanges_.clear();
+}
+
+void relay::set_limits(const routing::caller_limits& limits) {
+    limits_ = limits;
+    server_.set_limits(limits.body_bytes, limits.header_time, limits.idle_time);
+}
+
+http::connection_pool& relay::pool_of(const model::address& address) {
+    auto& pool = pools_[{address.host, address.port}];
+    if (!pool) {
+        pool = std::make_unique<http::connection_pool>(address, connection_limit_, open_time);
+    }
+    return *pool;
+}
+
+exchange* relay::find(routing::exchange_id id) {
+    const auto found = exchanges_.find(id);
+    return found == exchanges_.end() ? nullptr : found->second.get();
+}
+
+void relay::erase(routing::exchange_id id) {
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    if (found->second->current) {
+        found->second->current->drop();
+        ended_.push_back(std::move(found->second->current));
+    }
+    exchanges_.erase(found);
+    calls_.post([this] { ended_.clear(); });
+}
+
+void relay::request_started(http::server_connection& connection) {
+    auto item = std::make_unique<exchange>();
+    item->id = ++last_exchange_;
+    item->caller = connection.shared_from_this();
+    item->header = dialect_.read(connection.message());
+    item->arrived = base::boot_clock::now();
+    item->head = dialect_.request_head(connection);
+    item->is_head = connection.message().method() == boost::beast::http::verb::head;
+    item->has_body = connection.request_framing() != http::body_framing::none;
+    connection.limit_body(limits_.body_bytes);
+    connection.set_tag(item->id);
+    connection.send_continue();
+    exchanges_.emplace(item->id, std::move(item));
+}
+
+void relay::request_body(http::server_connection& connection, std::string_view bytes) {
+    if (auto* const item = find(connection.tag())) {
+        item->body.append(bytes);
+    }
+}
+
+void relay::request_body_ended(http::server_connection& connection) {
+    const auto* const item = find(connection.tag());
+    if (item == nullptr) {
+        return;
+    }
+    routing::request_arrived event;
+    event.exchange = item->id;
+    event.request = item->header.request;
+    event.host = item->header.host;
+    event.path = item->header.path;
+    event.key = item->header.key;
+    event.deadline = item->header.deadline;
+    event.arrived = item->arrived;
+    on_event_(event);
+}
+
+void relay::answer_writable(http::server_connection& connection) {
+    const auto* const item = find(connection.tag());
+    if (item != nullptr && item->current) {
+        item->current->caller_writable();
+    }
+}
+
+void relay::caller_left(http::server_connection& connection) {
+    const auto id = connection.tag();
+    if (find(id) == nullptr) {
+        return;
+    }
+    on_event_(routing::caller_left{id});
+    erase(id);
+}
+
+void relay::attempt_sent(const routing::attempt_sent& event) {
+    on_event_(event);
+}
+
+void relay::attempt_over(exchange& exchange, const routing::attempt_ended& event) {
+    const auto id = exchange.id;
+    if (exchange.current) {
+        ended_.push_back(std::move(exchange.current));
+        calls_.post([this] { ended_.clear(); });
+    }
+    const bool answered = exchange.caller == nullptr;
+    on_event_(event);
+    if (answered) {
+        erase(id);
+    }
+}
+
+void relay::execute(const routing::send_request& effect) {
+    auto* const item = find(effect.exchange);
+    if (item == nullptr) {
+        return;
+    }
+    auto& pool = pool_of(effect.address);
+    item->current = std::make_unique<attempt>(static_cast<attempt::owner&>(*this), *item, effect, pool, dialect_);
+    item->current->begin();
+}
+
+void relay::execute(const routing::cancel_attempt& effect) {
+    auto* const item = find(effect.exchange);
+    if (item != nullptr && item->current && item->current->id() == effect.attempt) {
+        item->current->drop();
+        ended_.push_back(std::move(item->current));
+        calls_.post([this] { ended_.clear(); });
+    }
+}
+
+void relay::execute(const routing::deliver_answer& effect) {
+    auto* const item = find(effect.exchange);
+    if (item == nullptr || !item->caller || !item->failure) {
+        return;
+    }
+    const auto caller = std::exchange(item->caller, nullptr);
+    const auto answer = std::move(item->failure);
+    caller->set_tag(0);
+    caller->start_answer(answer->status, answer->reason, answer->lines, http::body_framing::length,
+                         answer->body.size());
+    caller->answer_body(answer->body);
+    caller->end_answer();
+    erase(effect.exchange);
+}
+
+void relay::execute(const routing::answer_caller& effect) {
+    auto* const item = find(effect.exchange);
+    if (item == nullptr || !item->caller) {
+        return;
+    }
+    const auto caller = std::exchange(item->caller, nullptr);
+    caller->set_tag(0);
+    caller->answer_error(effect.status, effect.code, base::name_of(effect.code),
+                         dialect_.own_fields(item->header.request, effect.retry_after));
+    erase(effect.exchange);
+}
+
+void relay::check_times() {
+    const auto now = http::client_connection::clock::now();
+    for (auto at = pools_.begin(); at != pools_.end();) {
+        at->second->check_times(now);
+        const bool unused = at->second->connections() == 0 && at->second->waiting() == 0 && ended_.empty();
+        at = unused ? pools_.erase(at) : std::next(at);
+    }
+}
+
+} // namespace lovagetack::gateway
--- /dev/null
+++ b/source/gateway/relay.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstddef>
+#include <list>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <utility>
+
+#include "base/result.hpp"
+#include "gateway/attempt.hpp"
+#include "gateway/ports.hpp"
+#include "http/connection_pool.hpp"
+#include "http/deferred_calls.hpp"
+#include "http/server.hpp"
+#include "routing/catalogue.hpp"
+#include "routing/effect.hpp"
+
+namespace lovagetack::gateway {
+
+/// The transport of the request path: turns what callers send into events and carries out effects.
+class relay final : private http::server_connection::handler, private attempt::owner {
+public:
+    /// Events are delivered from the event loop.
+    relay(const dialect_port& dialect, event_handler on_event, std::size_t caller_connections);
+    relay(const relay&) = delete;
+    relay& operator=(const relay&) = delete;
+    ~relay() override;
+
+    base::result<void> listen(const model::address& address) { return server_.listen(address); }
+    void set_limits(const routing::caller_limits& limits);
+
+    void execute(const routing::send_request& effect);
+    void execute(const routing::cancel_attempt& effect);
+    void execute(const routing::deliver_answer& effect);
+    void execute(const routing::answer_caller& effect);
+
+    /// Connections that one backend server may get from this instance.
+    void set_connection_limit(std::size_t limit) { connection_limit_ = limit; }
+    /// Ends attempts to connect that take too long, and idle connections.
+    void check_times();
+
+    /// Answers tell callers to use another connection from now on.
+    void begin_closing() { server_.begin_closing(); }
+    void stop(std::function<void()> stopped) { server_.stop(std::move(stopped)); }
+    [[nodiscard]] std::size_t open_exchanges() const { return exchanges_.size(); }
+    [[nodiscard]] std::size_t caller_connections() const { return server_.connections(); }
+    [[nodiscard]] std::uint64_t opened_connections() const { return opened_connections_; }
+
+private:
+    void request_started(http::server_connection& connection) override;
+    void request_body(http::server_connection& connection, std::string_view bytes) override;
+    void request_body_ended(http::server_connection& connection) override;
+    void answer_writable(http::server_connection& connection) override;
+    void caller_left(http::server_connection& connection) override;
+
+    void attempt_sent(const routing::attempt_sent& event) override;
+    void attempt_over(exchange& exchange, const routing::attempt_ended& event) override;
+
+    http::connection_pool& pool_of(const model::address& address);
+    [[nodiscard]] exchange* find(routing::exchange_id id);
+    void erase(routing::exchange_id id);
+
+    const dialect_port& dialect_;
+    event_handler on_event_;
+    std::unordered_map<routing::exchange_id, std::unique_ptr<exchange>> exchanges_;
+    std::map<std::pair<std::string, std::uint16_t>, std::unique_ptr<http::connection_pool>> pools_;
+    /// Attempts that ended; destroyed when nothing of theirs is being called.
+    std::list<std::unique_ptr<attempt>> ended_;
+    routing::exchange_id last_exchange_ = 0;
+    routing::caller_limits limits_;
+    std::size_t connection_limit_ = 16;
+    std::uint64_t opened_connections_ = 0;
+    http::deferred_calls calls_;
+    http::server server_;
+};
+
+} // namespace lovagetack::gateway
--- /dev/null
+++ b/source/http/call.cpp
@@ -0,0 +1,74 @@
+#include "http/call.hpp"
+
+#include <utility>
+
+namespace lovagetack::http {
+
+call::call(connection_pool& pool, std::string text, std::chrono::milliseconds timeout, done_function done)
+    : pool_(pool), text_(std::move(text)), done_(std::move(done)) {
+    timer_.setSingleShot(true);
+    QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] {
+        result_.status = 0;
+        end();
+    });
+    timer_.start(timeout);
+}
+
+call::~call() {
+    pool_.forget(*this);
+    give_back();
+}
+
+void call::connection_ready(const std::shared_ptr<client_connection>& connection) {
+    connection_ = connection;
+    result_.sent = true;
+    connection_->start(*this, false, text_);
+    connection_->end_request();
+}
+
+void call::answer_started(const client_connection::answer& header, bool /*chunked*/, bool /*has_body*/) {
+    result_.status = static_cast<int>(header.result_int());
+    result_.header = header.base();
+}
+
+void call::answer_body(std::string_view bytes) {
+    result_.body.append(bytes);
+    if (result_.body.size() > longest_body) {
+        result_.status = 0;
+        connection_->abort();
+        end();
+    }
+}
+
+void call::answer_ended() {
+    end();
+}
+
+void call::answer_failed(client_connection::failure /*reason*/) {
+    result_.status = 0;
+    end();
+}
+
+void call::give_back() {
+    if (!connection_) {
+        return;
+    }
+    const auto connection = std::exchange(connection_, nullptr);
+    if (!connection->is_idle()) {
+        connection->abort();
+    }
+    pool_.release(connection);
+}
+
+void call::end() {
+    timer_.stop();
+    pool_.forget(*this);
+    give_back();
+    if (done_) {
+        const auto done = std::exchange(done_, nullptr);
+        const auto result = std::move(result_);
+        done(result);
+    }
+}
+
+} // namespace lovagetack::http
--- /dev/null
+++ b/source/http/call.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <QTimer>
+
+#include "http/client_connection.hpp"
+#include "http/connection_pool.hpp"
+#include "http/header_rules.hpp"
+
+namespace lovagetack::http {
+
+/// What became of a call.
+struct call_result {
+    /// 0 without a whole answer.
+    int status = 0;
+    /// Something of the request may have reached the server.
+    bool sent = false;
+    fields header;
+    std::string body;
+};
+
+/// A small request of the instance itself whose whole answer is collected.
+class call final : private connection_pool::waiter, private client_connection::handler {
+public:
+    using done_function = std::function<void(const call_result&)>;
+
+    /// The pool must live longer. `done` is called once from the event loop, unless the call is destroyed before; it
+    /// may destroy the call.
+    call(connection_pool& pool, std::string text, std::chrono::milliseconds timeout, done_function done);
+    call(const call&) = delete;
+    call& operator=(const call&) = delete;
+    ~call() override;
+
+    void begin() { pool_.acquire(*this, false); }
+
+    /// Longer answers fail the call.
+    static constexpr std::size_t longest_body = std::size_t(4) * 1024 * 1024;
+
+private:
+    void connection_ready(const std::shared_ptr<client_connection>& connection) override;
+    void connection_failed() override { end(); }
+    void answer_started(const client_connection::answer& header, bool chunked, bool has_body) override;
+    void answer_body(std::string_view bytes) override;
+    void answer_pause() override {}
+    void answer_ended() override;
+    void answer_failed(client_connection::failure reason) override;
+    void request_writable() override {}
+    void end();
+    void give_back();
+
+    connection_pool& pool_;
+    std::string text_;
+    done_function done_;
+    call_result result_;
+    std::shared_ptr<client_connection> connection_;
+    QTimer timer_;
+};
+
+} // namespace lovagetack::http
--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/client_connection.hpp"
 
+#include <charconv>
 #include <utility>
 
 #include "http/header_rules.hpp"
@@ -100,7 +101,7 @@
     if (!stream_.is_closed()) {
         return false;
     }
-    if (phase_ == phase::header) {
+    if (phase_ == phase::header || skipping_) {
         fail(failure::connection_lost);
         return false;
     }
@@ -131,8 +132,14 @@
         reader_.reset(is_head_);
         return true;
     }
+    note_keep_alive();
     phase_ = phase::body;
     const bool has_body = !reader_.complete();
+    skipping_ = !handler_->is_own_answer(reader_.message());
+    if (skipping_) {
+        out_of_step_ = true;
+        return step_skipped();
+    }
     handler_->answer_started(reader_.message(), reader_.chunked(), has_body);
     if (phase_ == phase::body && !has_body) {
         end_answer();
@@ -141,12 +148,44 @@
     return true;
 }
 
+bool client_connection::step_skipped() {
+    reader_.body().clear();
+    if (!reader_.complete()) {
+        return true;
+    }
+    skipping_ = false;
+    reader_.reset(is_head_);
+    phase_ = phase::header;
+    return true;
+}
+
+void client_connection::note_keep_alive() {
+    constexpr std::string_view parameter = "timeout=";
+    const auto text = value_of(reader_.message(), boost::beast::http::field::keep_alive);
+    const auto at = text.find(parameter);
+    if (at == std::string_view::npos) {
+        return;
+    }
+    const auto digits = text.substr(at + parameter.size());
+    std::int64_t seconds = 0;
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec == std::errc()) {
+        keep_alive_time_ = std::chrono::seconds(seconds);
+    }
+}
+
 bool client_connection::step_body() {
     const auto result = reader_.read_body(stream_.input());
     if (result == read_step::malformed || result == read_step::too_large) {
         fail(failure::malformed);
         return false;
     }
+    if (skipping_) {
+        if (reader_.complete()) {
+            return step_skipped();
+        }
+        reader_.body().clear();
+        return result == read_step::progress || wait_for_more();
+    }
     auto& bytes = reader_.body();
     if (!bytes.empty()) {
         handler_->answer_body(bytes);
@@ -163,8 +202,8 @@
 }
 
 void client_connection::end_answer() {
-    const bool reusable = reader_.keep_alive() && request_written_ && !stream_.is_closed() && stream_.unsent() == 0 &&
-                          !stream_.has_received();
+    const bool reusable = !out_of_step_ && reader_.keep_alive() && request_written_ && !stream_.is_closed() &&
+                          stream_.unsent() == 0 && !stream_.has_received();
     const auto answers = std::exchange(handler_, nullptr);
     since_ = clock::now();
     phase_ = reusable ? phase::idle : phase::closed;
--- a/source/http/client_connection.hpp
+++ b/source/http/client_connection.hpp
@@ -38,6 +38,9 @@
         handler& operator=(const handler&) = delete;
         virtual ~handler() = default;
 
+        /// Whether an answer belongs to the request; a server may send one more answer to an earlier request. Answers
+        /// that do not are skipped.
+        [[nodiscard]] virtual bool is_own_answer(const answer& /*header*/) { return true; }
         /// The header is complete. Interim answers (1xx) are not reported.
         virtual void answer_started(const answer& header, bool chunked, bool has_body) = 0;
         /// May be called with several parts; the bytes are valid during the call only.
@@ -79,6 +82,9 @@
     /// When it became idle, or began to open.
     [[nodiscard]] clock::time_point since() const { return since_; }
 
+    /// The server closes the connection when it has been idle for this long; 0 if it did not say so.
+    [[nodiscard]] std::chrono::seconds keep_alive_time() const { return keep_alive_time_; }
+
     /// Drops the connection at once; nothing is called any more.
     void abort();
 
@@ -94,6 +100,8 @@
     bool step();
     bool step_header();
     bool step_body();
+    bool step_skipped();
+    void note_keep_alive();
     bool wait_for_more();
     void end_answer();
     void fail(failure reason);
@@ -107,6 +115,11 @@
     bool is_head_ = false;
     bool request_written_ = false;
     bool paused_ = false;
+    /// The present answer belongs to an earlier request.
+    bool skipping_ = false;
+    /// Something was received that belongs to no request of this connection.
+    bool out_of_step_ = false;
+    std::chrono::seconds keep_alive_time_{0};
     socket_stream stream_;
 };
 
--- a/source/http/connection_pool.cpp
+++ b/source/http/connection_pool.cpp
@@ -5,8 +5,8 @@
 
 namespace lovagetack::http {
 
-connection_pool::connection_pool(model::address address, std::size_t limit)
-    : address_(std::move(address)), limit_(limit) {}
+connection_pool::connection_pool(model::address address, std::size_t limit, std::chrono::milliseconds open_time)
+    : address_(std::move(address)), limit_(limit), open_time_(open_time) {}
 
 connection_pool::~connection_pool() {
     for (const auto& [pointer, connection] : connections_) {
@@ -14,8 +14,19 @@
     }
 }
 
-void connection_pool::acquire(waiter& waiting, bool fresh) {
-    if (!fresh && waiters_.empty() && !idle_.empty()) {
+bool connection_pool::is_stale(const client_connection& connection, client_connection::clock::time_point now) {
+    const auto stated = std::chrono::duration_cast<std::chrono::milliseconds>(connection.keep_alive_time());
+    const auto limit = stated.count() > 0 ? std::min<std::chrono::milliseconds>(idle_time, stated - idle_margin)
+                                          : std::chrono::milliseconds(idle_time);
+    return now - connection.since() > limit;
+}
+
+void connection_pool::acquire(waiter& waiting, bool fresh, std::chrono::milliseconds oldest_idle) {
+    const auto now = client_connection::clock::now();
+    while (!idle_.empty() && is_stale(*idle_.front(), now)) {
+        close_one_idle();
+    }
+    if (!fresh && waiters_.empty() && !idle_.empty() && now - idle_.back()->since() <= oldest_idle) {
         const auto connection = std::move(idle_.back());
         idle_.pop_back();
         waiting.connection_ready(connection);
@@ -120,12 +131,12 @@
 }
 
 void connection_pool::check_times(client_connection::clock::time_point now) {
-    while (!idle_.empty() && now - idle_.front()->since() > idle_time) {
+    while (!idle_.empty() && is_stale(*idle_.front(), now)) {
         close_one_idle();
     }
     std::vector<std::shared_ptr<client_connection>> late;
     for (const auto& [pointer, connection] : connections_) {
-        if (connection->is_opening() && now - connection->since() > open_time) {
+        if (connection->is_opening() && now - connection->since() > open_time_) {
             late.push_back(connection);
         }
     }
--- a/source/http/connection_pool.hpp
+++ b/source/http/connection_pool.hpp
@@ -32,13 +32,15 @@
         virtual void connection_failed() = 0;
     };
 
-    connection_pool(model::address address, std::size_t limit);
+    connection_pool(model::address address, std::size_t limit, std::chrono::milliseconds open_time = default_open_time);
     connection_pool(const connection_pool&) = delete;
     connection_pool& operator=(const connection_pool&) = delete;
     ~connection_pool();
 
     /// A fresh connection has carried no request yet; for it an idle one is closed when the limit is reached.
-    void acquire(waiter& waiting, bool fresh);
+    void acquire(waiter& waiting, bool fresh) { acquire(waiting, fresh, idle_time); }
+    /// An idle connection is taken if it was used within `oldest_idle`.
+    void acquire(waiter& waiting, bool fresh, std::chrono::milliseconds oldest_idle);
     /// Gives up waiting; does nothing if the waiter does not wait.
     void forget(waiter& waiting);
     /// Returns a connection after use, in whatever state.
@@ -53,7 +55,9 @@
     /// Gives up connections that do not open in time and closes those that are idle for long.
     void check_times(client_connection::clock::time_point now);
 
-    static constexpr auto open_time = std::chrono::seconds(1);
+    static constexpr auto default_open_time = std::chrono::milliseconds(1000);
+    /// Kept from the time that a server states for idle connections: the request has to arrive before it closes.
+    static constexpr auto idle_margin = std::chrono::milliseconds(1500);
     /// Below the usual idle times of servers, so that few requests meet a connection that is about to be closed.
     static constexpr auto idle_time = std::chrono::seconds(20);
 
@@ -63,6 +67,7 @@
         bool fresh = false;
     };
 
+    [[nodiscard]] static bool is_stale(const client_connection& connection, client_connection::clock::time_point now);
     void opened(client_connection& connection);
     void ended(client_connection& connection);
     void remove(client_connection& connection);
@@ -73,6 +78,7 @@
 
     model::address address_;
     std::size_t limit_;
+    std::chrono::milliseconds open_time_;
     std::size_t opening_ = 0;
     std::unordered_map<client_connection*, std::shared_ptr<client_connection>> connections_;
     /// The last one was used most recently and is taken first, so that surplus ones grow old and close.
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -65,6 +65,9 @@
                 report_stopped();
             });
         connections_.emplace(connection.get(), connection);
+        if (closing_) {
+            connection->announce_close();
+        }
         if (too_many) {
             connection->refuse_connection();
         }
@@ -82,6 +85,20 @@
     }
 }
 
+void server::set_limits(std::uint64_t body_bytes, std::chrono::milliseconds header_time,
+                        std::chrono::milliseconds idle_time) {
+    limits_.body_bytes = body_bytes;
+    limits_.header_time = header_time;
+    limits_.idle_time = idle_time;
+}
+
+void server::begin_closing() {
+    closing_ = true;
+    for (const auto& [pointer, connection] : connections_) {
+        connection->announce_close();
+    }
+}
+
 void server::stop(std::function<void()> stopped) {
     listener_.close();
     stopping_ = true;
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -31,6 +31,13 @@
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
+    /// Applies to open connections too.
+    void set_limits(std::uint64_t body_bytes, std::chrono::milliseconds header_time,
+                    std::chrono::milliseconds idle_time);
+
+    /// From now on every answer is the last one of its connection; idle connections and the listener stay open.
+    void begin_closing();
+
     /// Stops listening, lets every open request end, then calls the function from the event loop.
     void stop(std::function<void()> stopped);
 
@@ -46,6 +53,7 @@
     std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
     std::function<void()> stopped_;
     bool stopping_ = false;
+    bool closing_ = false;
     deferred_calls calls_;
 };
 
--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -245,7 +245,8 @@
     if (framing == body_framing::until_close || (framing == body_framing::chunked && old_version_)) {
         answer_framing_ = old_version_ ? body_framing::until_close : body_framing::chunked;
     }
-    if (!request_complete_ || finishing_ || (answer_framing_ == body_framing::until_close && !without_body)) {
+    if (!request_complete_ || finishing_ || last_answer_ ||
+        (answer_framing_ == body_framing::until_close && !without_body)) {
         keep_alive_ = false;
     }
     output_.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason).append("\r\n").append(lines);
--- a/source/http/server_connection.hpp
+++ b/source/http/server_connection.hpp
@@ -84,6 +84,9 @@
     /// Drops the connection at once; the handler is not called any more.
     void abort();
 
+    /// The next answer is the last one; the connection stays open until then.
+    void announce_close() { last_answer_ = true; }
+
     /// The open request is the last one; a connection without one closes when it has been idle for stop_grace.
     void finish();
     /// Refuses a connection above the limit of the server.
@@ -135,6 +138,7 @@
     bool head_request_ = false;
     bool answer_started_ = false;
     bool finishing_ = false;
+    bool last_answer_ = false;
     socket_stream stream_;
 };
 
--- /dev/null
+++ b/source/routing/assignment.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/fields.hpp"
+#include "model/ids.hpp"
+
+namespace lovagetack::routing {
+
+/// Keys of a service divided by key are numbers below this.
+constexpr std::uint32_t key_count = 65536;
+
+/// Neighbouring keys with one owner.
+struct key_range {
+    /// Both inclusive.
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    model::backend_server_id owner;
+    /// The life of the owner that holds the keys.
+    std::uint64_t owner_born = 0;
+    /// Fencing token of the owner's grant.
+    std::uint64_t fence = 0;
+    /// While the range moves: the owner whose grant has to end first. Nobody is sent requests for it meanwhile.
+    model::backend_server_id leaving;
+    std::uint64_t leaving_born = 0;
+    std::uint64_t leaving_fence = 0;
+
+    [[nodiscard]] bool moving() const { return !leaving.empty(); }
+    [[nodiscard]] std::uint32_t width() const { return last - first + 1; }
+    bool operator==(const key_range&) const = default;
+};
+
+/// Who owns which keys of one service; a row of the store.
+struct assignment {
+    /// The next fencing token to use; tokens are never used twice.
+    std::uint64_t next_fence = 1;
+    /// Sorted; covers all keys.
+    std::vector<key_range> ranges;
+
+    bool operator==(const assignment&) const = default;
+};
+
+/// The holder of the duty to assign and grant keys; a row of the store.
+struct keeper_lease {
+    model::instance_id holder;
+    std::uint64_t incarnation = 0;
+    /// Times on the store's clock, in milliseconds. Until `until` the holder may change assignments.
+    std::int64_t until = 0;
+    /// Until this time the holder, or one before it, may renew grants that it has given.
+    std::int64_t renewals_until = 0;
+};
+
+/// One instance of the deployment; a row of the store.
+struct instance_record {
+    model::data_centre_id data_centre;
+    std::uint64_t incarnation = 0;
+};
+
+/// The range of a key; null only if the assignment has no ranges.
+[[nodiscard]] const key_range* find_range(const assignment& assignment, std::uint32_t key);
+
+} // namespace lovagetack::routing
+
+template <>
+struct lovagetack::base::fields_of<lovagetack::routing::key_range> {
+    static constexpr std::string_view name = "key_range";
+    static constexpr auto list = std::make_tuple(
+        make_field("first", &routing::key_range::first), make_field("last", &routing::key_range::last),
+        make_field("owner", &routing::key_range::owner), make_field("born", &routing::key_range::owner_born),
+        make_field("fence", &routing::key_range::fence), make_field("leaving", &routing::key_range::leaving),
+        make_field("leaving_born", &routing::key_range::leaving_born),
+        make_field("leaving_fence", &routing::key_range::leaving_fence));
+};
+
+template <>
+struct lovagetack::base::fields_of<lovagetack::routing::assignment> {
+    static constexpr std::string_view name = "assignment";
+    static constexpr auto list = std::make_tuple(make_field("next_fence", &routing::assignment::next_fence),
+                                                 make_field("ranges", &routing::assignment::ranges));
+};
+
+template <>
+struct lovagetack::base::fields_of<lovagetack::routing::keeper_lease> {
+    static constexpr std::string_view name = "keeper_lease";
+    static constexpr auto list = std::make_tuple(make_field("holder", &routing::keeper_lease::holder),
+                                                 make_field("incarnation", &routing::keeper_lease::incarnation),
+                                                 make_field("until", &routing::keeper_lease::until),
+                                                 make_field("renewals_until", &routing::keeper_lease::renewals_until));
+};
+
+template <>
+struct lovagetack::base::fields_of<lovagetack::routing::instance_record> {
+    static constexpr std::string_view name = "instance_record";
+    static constexpr auto list = std::make_tuple(make_field("data_centre", &routing::instance_record::data_centre),
+                                                 make_field("incarnation", &routing::instance_record::incarnation));
+};
--- /dev/null
+++ b/source/routing/effect.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/result_code.hpp"
+#include "model/address.hpp"
+#include "model/ids.hpp"
+#include "routing/event.hpp"
+
+namespace lovagetack::routing {
+
+/// Sends the request of an exchange to a backend server.
+struct send_request {
+    exchange_id exchange = 0;
+    model::attempt_id attempt;
+    model::backend_server_id server;
+    model::address address;
+    /// What is left of the caller's time.
+    std::chrono::milliseconds deadline{0};
+    /// Only on a connection that was used a moment ago, or on a new one: the request cannot be sent again if an old
+    /// connection turns out to be dead.
+    bool recent_connection = false;
+};
+
+/// Drops an attempt and its connection; it is not reported as ended.
+struct cancel_attempt {
+    exchange_id exchange = 0;
+    model::attempt_id attempt;
+};
+
+/// Passes on the failure that the shell kept of the last attempt.
+struct deliver_answer {
+    exchange_id exchange = 0;
+};
+
+/// Answers in place of a backend server.
+struct answer_caller {
+    exchange_id exchange = 0;
+    int status = 503;
+    base::result_code code = base::result_code::ok;
+    /// 0: not told.
+    std::chrono::milliseconds retry_after{0};
+};
+
+struct grant_range {
+    model::service_id service;
+    model::backend_server_id server;
+    model::address address;
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    std::uint64_t fence = 0;
+    std::chrono::milliseconds hold{0};
+    std::string handover;
+};
+
+struct release_range {
+    model::service_id service;
+    model::backend_server_id server;
+    model::address address;
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    std::uint64_t fence = 0;
+    /// Identifies the range in the answer: the first key of the stored range and its new fencing token.
+    std::uint32_t range_first = 0;
+    std::uint64_t range_fence = 0;
+};
+
+struct read_lease {};
+
+struct read_assignments {};
+
+/// Writes the lease and the given assignments in one transaction, if the lease still has the version.
+struct write_rows {
+    std::uint64_t expected_lease_version = 0;
+    keeper_lease lease;
+    std::vector<std::pair<model::service_id, assignment>> assignments;
+};
+
+/// One line of the log.
+struct log_line {
+    bool warning = false;
+    std::string name;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+
+using effect = std::variant<send_request, cancel_attempt, deliver_answer, answer_caller, grant_range, release_range,
+                            read_lease, read_assignments, write_rows, log_line>;
+using effects = std::vector<effect>;
+
+} // namespace lovagetack::routing
--- /dev/null
+++ b/source/routing/event.hpp
@@ -0,0 +1,213 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/boot_time.hpp"
+#include "model/ids.hpp"
+#include "routing/assignment.hpp"
+#include "routing/catalogue.hpp"
+
+namespace lovagetack::routing {
+
+/// Number of one open request of a caller, unique within the instance.
+using exchange_id = std::uint64_t;
+
+// What the store says.
+
+/// The store stopped answering, or answers again.
+struct store_contact {
+    bool reachable = true;
+};
+
+struct configuration_learned {
+    routing::configuration configuration;
+};
+
+/// A configuration that cannot be read; the one before stays in force.
+struct configuration_rejected {
+    std::string reason;
+};
+
+/// Data centres whose backend servers get nothing.
+struct evacuations_learned {
+    std::set<model::data_centre_id> data_centres;
+};
+
+struct backend_server_learned {
+    routing::backend_server server;
+};
+
+struct backend_server_removed {
+    model::backend_server_id id;
+};
+
+/// The registry has been read whole.
+struct registry_complete {};
+
+/// `version` is the store's version of the row.
+struct assignment_learned {
+    model::service_id service;
+    std::uint64_t version = 0;
+    routing::assignment assignment;
+};
+
+/// The table of assignments has been read whole.
+struct assignments_complete {};
+
+struct instance_learned {
+    model::instance_id instance;
+    instance_record record;
+};
+
+struct instance_removed {
+    model::instance_id instance;
+};
+
+/// Answer to read_lease. `version` is 0 if there is no row.
+struct lease_read {
+    bool answered = false;
+    std::uint64_t version = 0;
+    std::optional<keeper_lease> lease;
+    /// The store's clock in milliseconds when it answered.
+    std::int64_t store_time = 0;
+    base::boot_time asked_at;
+};
+
+enum class write_outcome : std::uint8_t {
+    written,
+    /// A row did not have the expected version.
+    conflict,
+    /// Refused for lack of capacity or because the store is down: nothing was done.
+    refused,
+    /// No answer: the write may be done, now or later.
+    unknown,
+};
+
+/// Answer to write_rows.
+struct rows_written {
+    write_outcome outcome = write_outcome::unknown;
+    /// Version of the written rows.
+    std::uint64_t version = 0;
+    std::int64_t store_time = 0;
+    base::boot_time asked_at;
+};
+
+/// Answer to read_assignments: all assignment_learned events came before.
+struct assignments_read {
+    bool answered = false;
+};
+
+// What backend servers answer to grants.
+
+enum class grant_outcome : std::uint8_t {
+    accepted,
+    /// The server has seen a higher fencing token.
+    superseded,
+    /// Another server, or none, has the address.
+    refused,
+    /// The grant may have arrived.
+    unanswered,
+};
+
+struct grant_ended {
+    model::service_id service;
+    model::backend_server_id server;
+    std::uint32_t first = 0;
+    std::uint64_t fence = 0;
+    grant_outcome outcome = grant_outcome::unanswered;
+    base::boot_time sent_at;
+};
+
+struct release_ended {
+    model::service_id service;
+    std::uint32_t first = 0;
+    std::uint64_t fence = 0;
+    bool released = false;
+    /// Passes what the old owner knew of the keys to the new one; may be empty.
+    std::string handover;
+};
+
+// What callers do.
+
+/// The whole request has been received.
+struct request_arrived {
+    exchange_id exchange = 0;
+    std::string request;
+    std::string host;
+    std::string path;
+    std::optional<std::uint32_t> key;
+    /// How long the caller waits, from `arrived`; 0 if not told.
+    std::chrono::milliseconds deadline{0};
+    base::boot_time arrived;
+};
+
+struct caller_left {
+    exchange_id exchange = 0;
+};
+
+// What becomes of attempts.
+
+/// Load that a backend server told with an answer.
+struct load_told {
+    std::int32_t running = 0;
+    std::int32_t waiting = 0;
+    std::int32_t slots = 0;
+    /// Duration of work at present in percent of the usual; 100 if not told.
+    std::int32_t slowness = 100;
+};
+
+enum class attempt_outcome : std::uint8_t {
+    /// The whole answer went to the caller.
+    delivered,
+    /// The answer is a failure that the server signed; the shell keeps it for deliver_answer.
+    failed,
+    /// The server says that it did not run the request.
+    not_run,
+    /// Another server has the address.
+    wrong_server,
+    /// The server does not hold the key.
+    no_key,
+    /// No connection; not a byte was sent.
+    not_connected,
+    /// The connection ended before a whole answer, and nothing of it went to the caller.
+    connection_lost,
+    /// The answer is not the server's whole, signed answer.
+    invalid_answer,
+    /// The answer ended early after a part had gone to the caller, whose connection is closed.
+    cut_short,
+};
+
+/// The request's first byte was written to a connection.
+struct attempt_sent {
+    exchange_id exchange = 0;
+    model::attempt_id attempt;
+};
+
+struct attempt_ended {
+    exchange_id exchange = 0;
+    model::attempt_id attempt;
+    attempt_outcome outcome = attempt_outcome::connection_lost;
+    int status = 0;
+    /// The answer came without delay on a connection that had carried requests before.
+    bool reused_connection = false;
+    std::optional<load_told> load;
+};
+
+struct ticked {};
+
+/// The instance is to end: it is no longer ready, and hands over its duties.
+struct shutdown_begun {};
+
+using event = std::variant<store_contact, configuration_learned, configuration_rejected, evacuations_learned,
+                           backend_server_learned, backend_server_removed, registry_complete, assignment_learned,
+                           assignments_complete, instance_learned, instance_removed, lease_read, rows_written,
+                           assignments_read, grant_ended, release_ended, request_arrived, caller_left, attempt_sent,
+                           attempt_ended, ticked, shutdown_begun>;
+
+} // namespace lovagetack::routing
--- /dev/null
+++ b/source/routing/keeper.cpp
@@ -0,0 +1,626 @@
+#include "routing/keeper.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "routing/log_fields.hpp"
+#include "routing/plan.hpp"
+#include "routing/servers.hpp"
+
+namespace lovagetack::routing {
+namespace {
+
+std::chrono::microseconds longest_hold() {
+    const auto hold = std::chrono::duration_cast<std::chrono::microseconds>(hold_time);
+    return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(hold.count()) * slow_clock)) +
+           hold_margin;
+}
+
+std::int64_t milliseconds(std::chrono::microseconds time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+/// The latest time that the store's clock can show now.
+std::int64_t latest_store_time(const keeper_state& keeper, base::boot_time now) {
+    return keeper.store_time + milliseconds(now - keeper.asked_at) + 1;
+}
+
+bool may_change(const step& step) {
+    const auto& keeper = step.state.keeper;
+    return keeper.phase == keeper_phase::holding &&
+           latest_store_time(keeper, step.now) < keeper.lease.until - clock_margin.count();
+}
+
+bool may_renew(const step& step) {
+    const auto& keeper = step.state.keeper;
+    return keeper.assignments_current && keeper.lease.holder == step.state.self.instance &&
+           keeper.lease.incarnation == step.state.self.incarnation &&
+           latest_store_time(keeper, step.now) < keeper.lease.renewals_until - clock_margin.count();
+}
+
+void note_store_time(keeper_state& keeper, std::int64_t store_time, base::boot_time asked_at, base::boot_time now) {
+    keeper.store_time = store_time;
+    keeper.asked_at = asked_at;
+    keeper.answered_at = now;
+}
+
+void schedule_check(step& step) {
+    // All instances together check about once in lease_check_period.
+    const auto instances = static_cast<std::int64_t>(std::max<std::size_t>(1, step.state.instances.size()));
+    const auto mean = lease_check_period * instances;
+    const auto random = static_cast<std::int64_t>(step.state.random() % 1000);
+    step.state.keeper.next_check = step.now + mean / 2 + mean * random / 1000;
+}
+
+void stand_down(step& step, const char* reason) {
+    auto& keeper = step.state.keeper;
+    if (keeper.phase == keeper_phase::holding || keeper.phase == keeper_phase::reading) {
+        step.add(log_line{false, "keeper_stopped", {text_field("reason", reason)}});
+    }
+    keeper.phase = keeper_phase::idle;
+    keeper.assignments_current = false;
+    keeper.lease = {};
+    keeper.grants.clear();
+    keeper.moves.clear();
+    keeper.owners.clear();
+    keeper.changed.clear();
+    keeper.writing.clear();
+    schedule_check(step);
+}
+
+keeper_lease next_lease(const step& step) {
+    const auto& keeper = step.state.keeper;
+    keeper_lease lease;
+    lease.holder = step.state.self.instance;
+    lease.incarnation = step.state.self.incarnation;
+    lease.until = latest_store_time(keeper, step.now) + lease_time.count();
+    lease.renewals_until = std::max(lease.until + renewal_right.count(), keeper.lease.renewals_until);
+    return lease;
+}
+
+void write(step& step) {
+    auto& keeper = step.state.keeper;
+    keeper.pending = next_lease(step);
+    keeper.write_under_way = true;
+    keeper.renewed_at = step.now;
+    keeper.writing = std::exchange(keeper.changed, {});
+    write_rows rows;
+    rows.expected_lease_version = keeper.lease_version;
+    rows.lease = keeper.pending;
+    for (const auto& [service, assignment] : keeper.writing) {
+        rows.assignments.emplace_back(service, assignment);
+    }
+    step.add(std::move(rows));
+}
+
+/// The assignment with the changes that are not written yet.
+const assignment& newest(const step& step, const model::service_id& service) {
+    const auto changed = step.state.keeper.changed.find(service);
+    return changed != step.state.keeper.changed.end() ? changed->second : step.state.services.at(service).assignment;
+}
+
+// Grants.
+
+void send_grant(step& step, const model::service_id& service, const key_range& range, const server_record& server,
+                const std::string& handover) {
+    auto& owner = step.state.keeper.owners[range.owner];
+    owner.sent_at = step.now;
+    ++owner.under_way;
+    step.add(grant_range{service, range.owner, server.registration.address, range.first, range.last, range.fence,
+                         hold_time, handover});
+}
+
+/// The server of a range's owner, if it lives the life that was assigned the keys.
+const server_record* owner_of(const state& state, const key_range& range) {
+    const auto found = state.servers.find(range.owner);
+    return found != state.servers.end() && found->second.registration.born == range.owner_born ? &found->second
+                                                                                               : nullptr;
+}
+
+bool is_lost(const step& step, const model::backend_server_id& id) {
+    const auto found = step.state.keeper.owners.find(id);
+    return found != step.state.keeper.owners.end() && found->second.failures_in_row >= 2 &&
+           step.now - found->second.confirmed_at > lost_after;
+}
+
+void renew_grants(step& step, const model::service_id& service, const service_record& record) {
+    auto& keeper = step.state.keeper;
+    for (const auto& range : record.assignment.ranges) {
+        // A range that a pending change takes away is not renewed: its grant has to end.
+        const auto* const later = find_range(newest(step, service), range.first);
+        const auto writing = keeper.writing.find(service);
+        const auto* const written = writing != keeper.writing.end() ? find_range(writing->second, range.first) : &range;
+        if (range.moving() || later == nullptr || later->moving() || written == nullptr || written->moving()) {
+            continue;
+        }
+        const auto* const server = owner_of(step.state, range);
+        if (server == nullptr || is_lost(step, range.owner)) {
+            continue;
+        }
+        auto& grant = keeper.grants[{service, range.first, range.fence}];
+        if (grant.under_way || step.now - grant.sent_at < renewal_period) {
+            continue;
+        }
+        grant.under_way = true;
+        grant.sent_at = step.now;
+        send_grant(step, service, range, *server, "");
+    }
+}
+
+// Moves.
+
+/// Whether the leaving owner's grant of the range has ended for sure.
+bool has_ended(const step& step, const key_range& range, const move_record& move) {
+    const auto& keeper = step.state.keeper;
+    const auto server = step.state.servers.find(range.leaving);
+    if (server != step.state.servers.end() && server->second.registration.born > range.leaving_born) {
+        // The life that held the keys is over.
+        return true;
+    }
+    const bool former_may_renew = step.now < keeper.former_right_until;
+    const auto owner = keeper.owners.find(range.leaving);
+    const auto sent = owner != keeper.owners.end() ? owner->second.sent_at : base::boot_time();
+    const auto unanswered = owner != keeper.owners.end() ? owner->second.unanswered_at : base::boot_time();
+    if (move.released && !former_may_renew && step.now > unanswered + longest_hold()) {
+        return true;
+    }
+    // Renewals ended before the move began.
+    const auto last = std::max(std::min(sent, move.started_at), keeper.former_right_until);
+    return step.now > last + longest_hold();
+}
+
+void release(step& step, const model::service_id& service, const key_range& range, move_record& move) {
+    const auto server = step.state.servers.find(range.leaving);
+    if (server == step.state.servers.end() || move.released || move.release_under_way ||
+        step.now - move.release_sent_at < release_retry) {
+        return;
+    }
+    // A renewal that overtakes the release would give the keys back.
+    const auto owner = step.state.keeper.owners.find(range.leaving);
+    if (owner != step.state.keeper.owners.end() && owner->second.under_way > 0) {
+        return;
+    }
+    move.release_under_way = true;
+    move.release_sent_at = step.now;
+    step.add(release_range{service, range.leaving, server->second.registration.address, range.first, range.last,
+                           range.leaving_fence, range.first, range.fence});
+}
+
+void continue_move(step& step, const model::service_id& service, const key_range& range) {
+    auto& keeper = step.state.keeper;
+    const auto [found, is_new] = keeper.moves.try_emplace({service, range.first, range.fence});
+    auto& move = found->second;
+    if (is_new) {
+        move.started_at = step.now;
+    }
+    if (!has_ended(step, range, move)) {
+        release(step, service, range, move);
+        return;
+    }
+    const auto* const server = owner_of(step.state, range);
+    if (server == nullptr || move.grant_under_way || step.now - move.grant_sent_at < release_retry) {
+        return;
+    }
+    move.grant_under_way = true;
+    move.grant_sent_at = step.now;
+    send_grant(step, service, range, *server, move.handover);
+}
+
+// Planning.
+
+std::vector<candidate> candidates(const step& step, const model::service_id& service) {
+    std::vector<candidate> found;
+    std::vector<candidate> cold;
+    double usual = 0;
+    for (const auto& [id, server] : step.state.servers) {
+        if (server.registration.service != service || is_lost(step, id) || server.failures_in_row > 2) {
+            continue;
+        }
+        if (may_own(step.state, server, step.now)) {
+            usual += static_cast<double>(server.service_time.count());
+            found.push_back({id, server.registration.born, static_cast<double>(server.service_time.count())});
+        } else if (server.registered && !server.leaving_since &&
+                   !step.state.evacuated.contains(server.registration.data_centre)) {
+            cold.push_back({id, server.registration.born, 1});
+        }
+    }
+    if (found.empty()) {
+        return cold;
+    }
+    usual /= static_cast<double>(found.size());
+    for (auto& item : found) {
+        // Observed service times vary, so that only a part of the difference is believed.
+        item.capacity = std::clamp(usual / std::max(1.0, item.capacity), 0.5, 1.6);
+    }
+    return found;
+}
+
+std::vector<std::uint32_t> recent_keys(service_record& record, base::boot_time now) {
+    while (!record.samples.empty() && now - record.samples.front().first > sample_age) {
+        record.samples.pop_front();
+    }
+    std::vector<std::uint32_t> keys;
+    keys.reserve(record.samples.size());
+    for (const auto& [at, key] : record.samples) {
+        keys.push_back(key);
+    }
+    return keys;
+}
+
+bool must_move(const step& step, const key_range& range) {
+    const auto* const server = owner_of(step.state, range);
+    if (server == nullptr) {
+        return true;
+    }
+    return !server->registered || server->leaving_since || server->evacuated_since || is_lost(step, range.owner);
+}
+
+move_stage stage_of(const step& step, const model::service_id& service, const key_range& range) {
+    const auto& keeper = step.state.keeper;
+    const auto found = keeper.moves.find({service, range.first, range.fence});
+    if (found == keeper.moves.end()) {
+        // A former holder may have granted it.
+        return step.now > keeper.former_right_until + longest_hold() ? move_stage::begun : move_stage::unknown;
+    }
+    return found->second.grant_sent_at == base::boot_time() ? move_stage::begun : move_stage::granted;
+}
+
+void plan(step& step, const model::service_id& service, service_record& record, bool balancing) {
+    auto& keeper = step.state.keeper;
+    assignment next = newest(step, service);
+    const auto able = candidates(step, service);
+    if (next.ranges.empty()) {
+        next = first_assignment(able);
+        if (!next.ranges.empty()) {
+            keeper.changed[service] = std::move(next);
+        }
+        return;
+    }
+    plan_inputs inputs{able, [&step](const key_range& range) { return must_move(step, range); },
+                       [&step, &service](const key_range& range) { return stage_of(step, service, range); },
+                       load_estimate(recent_keys(record, step.now))};
+    bool changed = move_lost_ranges(next, inputs);
+    const bool settled =
+        std::none_of(next.ranges.begin(), next.ranges.end(), [](const key_range& range) { return range.moving(); });
+    if (!changed && balancing && settled) {
+        changed = merge_ranges(next, able.size() * ranges_per_owner);
+        if (inputs.load.samples() >= fewest_samples) {
+            changed = balance(next, inputs) || changed;
+        }
+    }
+    if (!changed) {
+        return;
+    }
+    const auto moving =
+        std::count_if(next.ranges.begin(), next.ranges.end(), [](const key_range& range) { return range.moving(); });
+    step.state.moves += static_cast<std::uint64_t>(moving);
+    step.add(log_line{false,
+                      "assignment_planned",
+                      {text_field("service", service.value()), number_field("ranges", next.ranges.size()),
+                       number_field("moving", moving), number_field("candidates", able.size()),
+                       number_field("samples", inputs.load.samples())}});
+    keeper.changed[service] = std::move(next);
+}
+
+void plan_all(step& step) {
+    auto& keeper = step.state.keeper;
+    if (step.now < keeper.next_plan || !keeper.writing.empty() || !step.state.registry_known) {
+        return;
+    }
+    keeper.next_plan = step.now + plan_period;
+    const bool balancing = step.now >= keeper.next_balance;
+    if (balancing) {
+        keeper.next_balance = step.now + balance_period;
+    }
+    for (const auto& [name, settings] : step.state.configuration.services) {
+        if (settings.divided_by_key) {
+            plan(step, name, step.state.services[name], balancing);
+        }
+    }
+}
+
+/// A server has seen a higher token of these keys, as when a former holder's grant arrived late.
+void renew_fence(step& step, const range_id& id) {
+    auto next = newest(step, id.service);
+    for (auto& range : next.ranges) {
+        if (range.first == id.first && range.fence == id.fence) {
+            range.fence = next.next_fence++;
+            step.state.keeper.changed[id.service] = next;
+            return;
+        }
+    }
+}
+
+/// Gives all ranges new fencing tokens, so that grants of a former holder that still runs are rejected.
+void refence(step& step) {
+    auto& keeper = step.state.keeper;
+    for (const auto& [name, record] : step.state.services) {
+        if (record.assignment.ranges.empty()) {
+            continue;
+        }
+        auto next = record.assignment;
+        for (auto& range : next.ranges) {
+            if (!range.moving()) {
+                range.fence = next.next_fence++;
+            }
+        }
+        keeper.changed[name] = std::move(next);
+    }
+}
+
+void forget_old_records(step& step) {
+    auto& keeper = step.state.keeper;
+    const auto stands = [&](const range_id& id) {
+        const auto service = step.state.services.find(id.service);
+        if (service == step.state.services.end()) {
+            return false;
+        }
+        const auto* const range = find_range(service->second.assignment, id.first);
+        return range != nullptr && range->first == id.first && range->fence == id.fence;
+    };
+    std::erase_if(keeper.grants, [&](const auto& entry) { return !stands(entry.first); });
+    std::erase_if(keeper.moves, [&](const auto& entry) { return !stands(entry.first); });
+}
+
+bool apply(step& step, const model::service_id& service, std::uint64_t version, const assignment& assignment) {
+    auto& record = step.state.services[service];
+    if (version <= record.assignment_version) {
+        return false;
+    }
+    record.assignment_version = version;
+    record.assignment = assignment;
+    return true;
+}
+
+bool has_new_incarnation(const state& state, const model::instance_id& instance, std::uint64_t incarnation) {
+    const auto found = state.instances.find(instance);
+    return found != state.instances.end() && found->second.incarnation > incarnation;
+}
+
+} // namespace
+
+void learn_assignment(step& step, const assignment_learned& event) {
+    apply(step, event.service, event.version, event.assignment);
+}
+
+void learn_lease(step& step, const lease_read& event) {
+    auto& keeper = step.state.keeper;
+    const bool resolving = keeper.phase == keeper_phase::reading && keeper.lease.holder == step.state.self.instance;
+    keeper.read_under_way = false;
+    if (!event.answered) {
+        if (keeper.phase == keeper_phase::checking) {
+            keeper.phase = keeper_phase::idle;
+        }
+        schedule_check(step);
+        keeper.next_read = step.now + store_retry;
+        return;
+    }
+    note_store_time(keeper, event.store_time, event.asked_at, step.now);
+    const bool own = event.lease && event.lease->holder == step.state.self.instance;
+    if (own && event.lease->incarnation == step.state.self.incarnation) {
+        // A write without an answer was done after all, or nothing has changed.
+        keeper.lease_version = event.version;
+        keeper.lease = *event.lease;
+        keeper.phase = keeper_phase::reading;
+        keeper.read_under_way = true;
+        step.add(read_assignments{});
+        return;
+    }
+    if (resolving) {
+        stand_down(step, "another holder");
+    }
+    const bool free = !event.lease || own || event.lease->until + clock_margin.count() < event.store_time;
+    if (!free || step.state.shutting_down || !step.state.registry_known) {
+        keeper.phase = keeper_phase::idle;
+        schedule_check(step);
+        return;
+    }
+    const keeper_lease former = event.lease.value_or(keeper_lease());
+    keeper.former_holder = former.holder;
+    keeper.former_incarnation = former.incarnation;
+    const auto right = former.renewals_until - event.store_time;
+    // A former run on this very instance is over.
+    const bool former_ended = own || right <= 0 || has_new_incarnation(step.state, former.holder, former.incarnation);
+    keeper.former_right_until = former_ended ? step.now : step.now + std::chrono::milliseconds(right) + clock_margin;
+    keeper.assignments_current = false;
+    keeper.lease_version = event.version;
+    keeper.lease = {};
+    keeper.lease.renewals_until = former_ended ? 0 : former.renewals_until;
+    keeper.phase = keeper_phase::claiming;
+    keeper.changed.clear();
+    write(step);
+}
+
+void end_write(step& step, const rows_written& event) {
+    auto& keeper = step.state.keeper;
+    keeper.write_under_way = false;
+    const auto written = std::exchange(keeper.writing, {});
+    if (keeper.phase == keeper_phase::idle) {
+        return;
+    }
+    if (event.outcome == write_outcome::written) {
+        note_store_time(keeper, event.store_time, event.asked_at, step.now);
+        keeper.lease_version = event.version;
+        keeper.lease = keeper.pending;
+        for (const auto& [service, assignment] : written) {
+            apply(step, service, event.version, assignment);
+        }
+        forget_old_records(step);
+        if (keeper.phase == keeper_phase::claiming) {
+            keeper.phase = keeper_phase::reading;
+            step.add(log_line{false,
+                              "keeper_started",
+                              {number_field("lease_version", keeper.lease_version),
+                               text_field("former", keeper.former_holder.value()),
+                               number_field("former_right_ms", milliseconds(keeper.former_right_until - step.now))}});
+            keeper.read_under_way = true;
+            step.add(read_assignments{});
+        }
+        return;
+    }
+    if (event.outcome == write_outcome::refused) {
+        for (const auto& [service, assignment] : written) {
+            keeper.changed.try_emplace(service, assignment);
+        }
+        keeper.next_write = step.now + store_retry;
+        if (keeper.phase == keeper_phase::claiming) {
+            stand_down(step, "store refused");
+        }
+        return;
+    }
+    // What is planned may rest on an assignment that has changed: begin with what the store says.
+    keeper.changed.clear();
+    step.add(log_line{true,
+                      "lease_write_unresolved",
+                      {text_field("outcome", event.outcome == write_outcome::conflict ? "conflict" : "unknown")}});
+    if (keeper.phase == keeper_phase::claiming) {
+        stand_down(step, "claim not confirmed");
+        return;
+    }
+    keeper.phase = keeper_phase::reading;
+}
+
+void end_read_assignments(step& step, const assignments_read& event) {
+    auto& keeper = step.state.keeper;
+    if (keeper.phase != keeper_phase::reading) {
+        return;
+    }
+    keeper.read_under_way = false;
+    if (!event.answered) {
+        keeper.next_read = step.now + store_retry;
+        return;
+    }
+    const bool begins = !keeper.assignments_current;
+    keeper.assignments_current = true;
+    keeper.phase = keeper_phase::holding;
+    keeper.next_plan = step.now;
+    forget_old_records(step);
+    if (begins && step.now < keeper.former_right_until) {
+        refence(step);
+    }
+}
+
+void end_grant(step& step, const grant_ended& event) {
+    auto& keeper = step.state.keeper;
+    const range_id id{event.service, event.first, event.fence};
+    const auto grant = keeper.grants.find(id);
+    if (grant != keeper.grants.end()) {
+        grant->second.under_way = false;
+    }
+    const auto found = keeper.owners.find(event.server);
+    if (found != keeper.owners.end()) {
+        auto& owner = found->second;
+        owner.under_way = std::max(0, owner.under_way - 1);
+        if (event.outcome == grant_outcome::accepted) {
+            owner.failures_in_row = 0;
+            owner.confirmed_at = std::max(owner.confirmed_at, event.sent_at);
+        } else {
+            ++owner.failures_in_row;
+        }
+        if (event.outcome == grant_outcome::unanswered) {
+            owner.unanswered_at = std::max(owner.unanswered_at, event.sent_at);
+        }
+    }
+    if (event.outcome != grant_outcome::accepted) {
+        step.add(log_line{true,
+                          "grant_failed",
+                          {text_field("service", event.service.value()), text_field("server", event.server.value()),
+                           number_field("first", event.first), number_field("fence", event.fence),
+                           number_field("outcome", static_cast<int>(event.outcome))}});
+    }
+    if (event.outcome == grant_outcome::superseded && keeper.phase == keeper_phase::holding) {
+        renew_fence(step, id);
+    }
+    const auto move = keeper.moves.find(id);
+    if (move == keeper.moves.end()) {
+        return;
+    }
+    move->second.grant_under_way = false;
+    if (event.outcome != grant_outcome::accepted || keeper.phase != keeper_phase::holding) {
+        return;
+    }
+    auto next = newest(step, event.service);
+    for (auto& range : next.ranges) {
+        if (range.first == event.first && range.fence == event.fence) {
+            range.leaving = {};
+            range.leaving_born = 0;
+            range.leaving_fence = 0;
+            keeper.changed[event.service] = next;
+            break;
+        }
+    }
+    keeper.grants[id].sent_at = event.sent_at;
+}
+
+void end_release(step& step, const release_ended& event) {
+    const auto found = step.state.keeper.moves.find({event.service, event.first, event.fence});
+    if (found == step.state.keeper.moves.end()) {
+        return;
+    }
+    auto& move = found->second;
+    move.release_under_way = false;
+    move.released = move.released || event.released;
+    if (event.released) {
+        move.handover = event.handover;
+    }
+}
+
+void keep(step& step) {
+    auto& keeper = step.state.keeper;
+    if (has_new_incarnation(step.state, keeper.former_holder, keeper.former_incarnation)) {
+        keeper.former_right_until = std::min(keeper.former_right_until, step.now);
+    }
+    if (keeper.phase == keeper_phase::idle && !step.state.shutting_down && step.now >= keeper.next_check &&
+        step.state.registry_known && step.state.assignments_known) {
+        keeper.phase = keeper_phase::checking;
+        keeper.read_under_way = true;
+        step.add(read_lease{});
+    }
+    if (keeper.phase == keeper_phase::reading && !keeper.read_under_way && step.now >= keeper.next_read) {
+        keeper.read_under_way = true;
+        step.add(read_lease{});
+    }
+    if (step.state.shutting_down) {
+        resign(step);
+    }
+    if (may_renew(step)) {
+        for (const auto& [name, record] : step.state.services) {
+            renew_grants(step, name, record);
+        }
+    }
+    if (may_change(step)) {
+        plan_all(step);
+        for (const auto& [name, record] : step.state.services) {
+            for (const auto& range : record.assignment.ranges) {
+                if (range.moving()) {
+                    continue_move(step, name, range);
+                }
+            }
+        }
+    }
+    const bool due = step.now - keeper.renewed_at >= lease_renewal;
+    if (keeper.phase == keeper_phase::holding && !keeper.write_under_way && step.now >= keeper.next_write &&
+        (due || (!keeper.changed.empty() && may_change(step)))) {
+        if (!may_change(step)) {
+            // The lease may have passed to another holder, which a condition on its version will show.
+            keeper.changed.clear();
+        }
+        write(step);
+    }
+}
+
+void resign(step& step) {
+    auto& keeper = step.state.keeper;
+    if (keeper.phase != keeper_phase::holding || keeper.write_under_way || !may_change(step)) {
+        return;
+    }
+    write_rows rows;
+    rows.expected_lease_version = keeper.lease_version;
+    rows.lease.holder = step.state.self.instance;
+    rows.lease.incarnation = step.state.self.incarnation;
+    step.add(std::move(rows));
+    stand_down(step, "shutdown");
+    keeper.next_check = base::boot_time::max();
+}
+
+} // namespace lovagetack::routing
--- /dev/null
+++ b/source/routing/limits.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+/// Constants of the routing decisions; reasons that need more than a line are in docs/platform.md.
+namespace lovagetack::routing {
+
+using namespace std::chrono_literals;
+
+// Requests.
+
+/// Requests that one instance has under way at one backend server at first, and at most. A server has room for a few
+/// waiting requests, which all instances share.
+inline constexpr double first_window = 3;
+inline constexpr double largest_window = 4;
+inline constexpr double smallest_window = 1;
+/// Growth of the window with each answer of a server that was not full.
+inline constexpr double window_growth = 0.1;
+
+/// No new work for a backend server after it was full.
+inline constexpr std::chrono::microseconds full_pause = 60ms;
+/// After a failed connection; doubles with each failure in a row up to the longest pause.
+inline constexpr std::chrono::microseconds unreachable_pause = 100ms;
+inline constexpr std::chrono::microseconds longest_pause = 1600ms;
+/// A server that fails requests is tried again after this time.
+inline constexpr std::chrono::microseconds failing_pause = 400ms;
+
+/// Weight of a new observation in the moving averages.
+inline constexpr double average_weight = 0.15;
+/// Service time assumed of a server without observations.
+inline constexpr std::chrono::microseconds assumed_service_time = 100ms;
+/// A load report older than this says nothing any more.
+inline constexpr std::chrono::microseconds report_age = 1000ms;
+/// Transit to another data centre, as a penalty in the choice of a server: traffic between data centres is paid for.
+inline constexpr std::chrono::microseconds remote_penalty = 15ms;
+
+/// Retries per request that the instance allows itself; all instances together have to stay below the bound of the
+/// deployment, which also grants a constant that is left to the first retries.
+inline constexpr double retry_share = 0.12;
+inline constexpr double most_retry_tokens = 3;
+
+/// A request for a range that moves waits this share of its latency objective for the new owner.
+inline constexpr double move_wait_share = 0.6;
+/// A request is refused when its answer is expected after this share of the route's timeout.
+inline constexpr double late_share = 0.7;
+/// Pause before a request is sent again to a server that does not hold its key yet.
+inline constexpr std::chrono::microseconds missing_key_pause = 60ms;
+
+/// Times told to refused callers, spread so that they do not return together.
+inline constexpr std::chrono::milliseconds shortest_retry_after = 150ms;
+inline constexpr std::chrono::milliseconds retry_after_spread = 250ms;
+
+/// A sharded server that leaves still serves its keys until they have moved, for this long at most.
+inline constexpr std::chrono::microseconds leaving_service_time = 1400ms;
+inline constexpr std::chrono::microseconds evacuated_service_time = 3500ms;
+
+/// Instances that may send to a cold server; the fewer, the less their uncoordinated requests add up.
+inline constexpr std::size_t cold_senders = 2;
+/// Share of the cold rate that is used.
+inline constexpr double cold_rate_share = 0.85;
+
+/// After an outage of the store, registrations that lapsed meanwhile are back within this time.
+inline constexpr std::chrono::microseconds registry_return = 2200ms;
+
+// Keys.
+
+/// How long the keeper may change assignments after the store confirmed its lease.
+inline constexpr std::chrono::milliseconds lease_time = 2000ms;
+inline constexpr std::chrono::microseconds lease_renewal = 700ms;
+/// How long a holder without the store goes on renewing grants, so that an outage of the store stops no service.
+inline constexpr std::chrono::milliseconds renewal_right = 9000ms;
+/// Safety margin in comparisons of times of the store with own times.
+inline constexpr std::chrono::milliseconds clock_margin = 100ms;
+/// Checks of the lease by the other instances, in total over the deployment.
+inline constexpr std::chrono::microseconds lease_check_period = 350ms;
+
+/// Pause after a refusal of the store.
+inline constexpr std::chrono::microseconds store_retry = 200ms;
+
+/// Duration of a grant, and the period of its renewal. The longer, the later keys of a lost server are served again;
+/// the shorter, the less time there is to replace a lost keeper.
+inline constexpr std::chrono::milliseconds hold_time = 2400ms;
+inline constexpr std::chrono::microseconds renewal_period = 600ms;
+/// Clocks of backend servers may run this much slow.
+inline constexpr double slow_clock = 1.03;
+inline constexpr std::chrono::microseconds hold_margin = 100ms;
+/// An owner whose grant was not renewed for this long is given up.
+inline constexpr std::chrono::microseconds lost_after = 1000ms;
+inline constexpr std::chrono::microseconds release_retry = 400ms;
+
+inline constexpr std::chrono::microseconds plan_period = 100ms;
+inline constexpr std::chrono::microseconds balance_period = 600ms;
+/// Samples of requested keys for the balance, and their age.
+inline constexpr std::size_t key_samples = 400;
+inline constexpr std::chrono::microseconds sample_age = 4s;
+/// Samples that the width of all ranges together counts for, as long as little is known.
+inline constexpr double prior_samples = 12;
+inline constexpr std::size_t fewest_samples = 20;
+/// Load of the most loaded owner, relative to the mean, above which keys move.
+inline constexpr double tolerated_imbalance = 1.7;
+inline constexpr std::size_t moves_per_plan = 6;
+/// An owner has at most this many ranges before small ones are merged.
+inline constexpr std::size_t ranges_per_owner = 4;
+
+} // namespace lovagetack::routing
--- /dev/null
+++ b/source/routing/reduce.cpp
@@ -0,0 +1,125 @@
+#include "routing/reduce.hpp"
+
+#include <variant>
+
+#include "routing/keeper.hpp"
+#include "routing/log_fields.hpp"
+#include "routing/requests.hpp"
+#include "routing/servers.hpp"
+#include "routing/step.hpp"
+
+namespace lovagetack::routing {
+namespace {
+
+void on(step& step, const store_contact& event) {
+    note_contact(step, event.reachable);
+}
+
+void on(step& step, const configuration_learned& event) {
+    if (event.configuration.version <= step.state.configuration.version) {
+        return;
+    }
+    step.state.configuration = event.configuration;
+    step.add(log_line{false,
+                      "configuration_in_force",
+                      {number_field("version", event.configuration.version),
+                       number_field("routes", event.configuration.routes.size()),
+                       number_field("services", event.configuration.services.size())}});
+}
+
+void on(step& step, const configuration_rejected& event) {
+    step.add(log_line{true, "configuration_rejected", {text_field("reason", event.reason)}});
+}
+
+void on(step& step, const evacuations_learned& event) {
+    learn_evacuations(step, event.data_centres);
+}
+
+void on(step& step, const backend_server_learned& event) {
+    learn_server(step, event.server);
+}
+
+void on(step& step, const backend_server_removed& event) {
+    remove_server(step, event.id);
+}
+
+void on(step& step, const registry_complete& /*event*/) {
+    step.state.registry_known = true;
+}
+
+void on(step& step, const assignment_learned& event) {
+    learn_assignment(step, event);
+}
+
+void on(step& step, const assignments_complete& /*event*/) {
+    step.state.assignments_known = true;
+}
+
+void on(step& step, const instance_learned& event) {
+    step.state.instances[event.instance] = event.record;
+}
+
+void on(step& step, const instance_removed& event) {
+    step.state.instances.erase(event.instance);
+}
+
+void on(step& step, const lease_read& event) {
+    learn_lease(step, event);
+}
+
+void on(step& step, const rows_written& event) {
+    end_write(step, event);
+}
+
+void on(step& step, const assignments_read& event) {
+    end_read_assignments(step, event);
+}
+
+void on(step& step, const grant_ended& event) {
+    end_grant(step, event);
+}
+
+void on(step& step, const release_ended& event) {
+    end_release(step, event);
+}
+
+void on(step& step, const request_arrived& event) {
+    admit(step, event);
+}
+
+void on(step& step, const caller_left& event) {
+    forget_caller(step, event.exchange);
+}
+
+void on(step& step, const attempt_sent& event) {
+    note_sent(step, event);
+}
+
+void on(step& step, const attempt_ended& event) {
+    end_attempt(step, event);
+}
+
+void on(step& step, const ticked& /*event*/) {
+    remove_missing(step);
+}
+
+void on(step& step, const shutdown_begun& /*event*/) {
+    step.state.shutting_down = true;
+}
+
+} // namespace
+
+bool is_ready(const state& state) {
+    return !state.shutting_down && state.configuration.version > 0 && state.registry_known && state.assignments_known;
+}
+
+effects reduce(state& state, base::boot_time now, const event& event) {
+    step step{state, now, {}};
+    std::visit([&step](const auto& body) { on(step, body); }, event);
+    give_up_late(step);
+    keep(step);
+    serve_queues(step);
+    return std::move(step.effects);
+}
+
+} // namespace lovagetack::routing
--- /dev/null
+++ b/source/routing/reduce.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "base/boot_time.hpp"
+#include "routing/effect.hpp"
+#include "routing/event.hpp"
+#include "routing/state.hpp"
+
+namespace lovagetack::routing {
+
+/// Applies one event and returns what the shell has to do.
+[[nodiscard]] effects reduce(state& state, base::boot_time now, const event& event);
+
+} // namespace lovagetack::routing
--- /dev/null
+++ b/source/routing/requests.cpp
@@ -0,0 +1,526 @@
+#include "routing/requests.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "routing/log_fields.hpp"
+#include "routing/servers.hpp"
+
+namespace lovagetack::routing {
+namespace {
+
+using base::result_code;
+
+/// Latency of the way back to the caller that is kept free before its deadline.
+constexpr std::chrono::microseconds answer_margin = 15ms;
+
+std::chrono::milliseconds spread_retry_after(step& step) {
+    const auto spread = static_cast<std::uint64_t>(retry_after_spread.count());
+    return shortest_retry_after + std::chrono::milliseconds(step.state.random() % spread);
+}
+
+std::string_view name_of(attempt_outcome outcome) {
+    switch (outcome) {
+    case attempt_outcome::delivered:
+        return "delivered";
+    case attempt_outcome::failed:
+        return "failed";
+    case attempt_outcome::not_run:
+        return "not_run";
+    case attempt_outcome::wrong_server:
+        return "wrong_server";
+    case attempt_outcome::no_key:
+        return "no_key";
+    case attempt_outcome::not_connected:
+        return "not_connected";
+    case attempt_outcome::connection_lost:
+        return "connection_lost";
+    case attempt_outcome::invalid_answer:
+        return "invalid_answer";
+    case attempt_outcome::cut_short:
+        return "cut_short";
+    }
+    return "";
+}
+
+service_record& service_of(step& step, const exchange& exchange) {
+    return step.state.services[exchange.service];
+}
+
+bool divided_by_key(const state& state, const model::service_id& service) {
+    const auto found = state.configuration.services.find(service);
+    return found != state.configuration.services.end() && found->second.divided_by_key;
+}
+
+void leave_queues(step& step, exchange_id id, const exchange& exchange) {
+    const std::tuple key{exchange.priority, exchange.request.arrived, id};
+    auto& service = service_of(step, exchange);
+    service.queue.erase(key);
+    service.waiting.erase(id);
+    const auto server = step.state.servers.find(exchange.queued_at);
+    if (server != step.state.servers.end()) {
+        server->second.queue.erase(key);
+    }
+}
+
+void forget(step& step, exchange_id id) {
+    const auto found = step.state.exchanges.find(id);
+    leave_queues(step, id, found->second);
+    step.state.deadlines.erase({found->second.give_up_at, id});
+    step.state.exchanges.erase(found);
+}
+
+/// Ends an exchange with an answer of this instance. 503 promises that the request has not run.
+void answer(step& step, exchange_id id, result_code code, std::chrono::milliseconds retry_after) {
+    const auto& exchange = step.state.exchanges.at(id);
+    int status = 503;
+    if (exchange.may_have_run) {
+        status = code == result_code::request_deadline_passed ? 504 : 502;
+    }
+    if (exchange.answer_kept) {
+        step.add(deliver_answer{id});
+    } else {
+        step.add(answer_caller{id, status, code, status == 503 ? retry_after : std::chrono::milliseconds(0)});
+    }
+    ++step.state.refused[code];
+    const auto waited =
+        std::chrono::duration_cast<std::chrono::milliseconds>(step.now - exchange.request.arrived).count();
+    step.add(log_line{true,
+                      "request_ended",
+                      {text_field("request", exchange.request.request), text_field("service", exchange.service.value()),
+                       number_field("status", status), text_field("code", std::string(base::name_of(code))),
+                       text_field("server", exchange.server.value()), number_field("attempts", exchange.attempts),
+                       number_field("may_have_run", exchange.may_have_run ? 1 : 0), number_field("waited_ms", waited),
+                       number_field("configuration", step.state.configuration.version),
+                       number_field("key", exchange.request.key ? static_cast<int>(*exchange.request.key) : -1)}});
+    forget(step, id);
+}
+
+bool take_retry_token(service_record& service) {
+    if (service.retry_tokens < 1.0) {
+        return false;
+    }
+    service.retry_tokens -= 1.0;
+    return true;
+}
+
+/// Chooses the part of a split by credit, so that the shares hold over any few requests.
+const model::service_id& choose_target(step& step, const route& route) {
+    if (route.targets.size() == 1) {
+        return route.targets.front().service;
+    }
+    auto& credits = step.state.split_credit[route.name];
+    if (credits.empty()) {
+        // A random start keeps the instances from all beginning with the same part.
+        for (const auto& target : route.targets) {
+            credits[target.service] = static_cast<double>(step.state.random() % 1000) / 1000.0;
+        }
+    }
+    double sum = 0;
+    for (const auto& target : route.targets) {
+        sum += target.weight;
+    }
+    const route_target* best = &route.targets.front();
+    for (const auto& target : route.targets) {
+        credits[target.service] += sum > 0 ? target.weight / sum : 0;
+        if (credits[target.service] > credits[best->service]) {
+            best = &target;
+        }
+    }
+    credits[best->service] -= 1.0;
+    return best->service;
+}
+
+void send(step& step, exchange_id id, server_record& server) {
+    auto& exchange = step.state.exchanges.at(id);
+    leave_queues(step, id, exchange);
+    exchange.queued_at = {};
+    exchange.phase = exchange_phase::sent;
+    exchange.server = server.registration.id;
+    exchange.attempt = model::attempt_id(++step.state.last_attempt);
+    exchange.attempt_at = step.now;
+    exchange.sending = false;
+    exchange.answer_kept = false;
+    ++exchange.attempts;
+    --exchange.attempts_left;
+    exchange.tried.push_back(exchange.server);
+    ++server.outstanding;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.give_up_at - step.now);
+    step.add(send_request{id, exchange.attempt, exchange.server, server.registration.address,
+                          std::max(left, std::chrono::milliseconds(1)), exchange.kind == request_kind::non_idempotent});
+}
+
+/// The best server of the service for this request; null if none has room now.
+server_record* choose_server(step& step, const exchange& exchange) {
+    server_record* best = nullptr;
+    double best_score = 0;
+    for (auto& [id, server] : step.state.servers) {
+        if (server.registration.service != exchange.service || !takes_new_work(step.state, server, step.now) ||
+            !has_room(server, step.now) ||
+            std::find(exchange.tried.begin(), exchange.tried.end(), id) != exchange.tried.end()) {
+            continue;
+        }
+        auto time = expected_time(server, step.now);
+        if (server.registration.data_centre != step.state.self.data_centre) {
+            time += remote_penalty;
+        }
+        const double jitter = 0.9 + static_cast<double>(step.state.random() % 1000) / 5000.0;
+        const double score = static_cast<double>(time.count()) * jitter / (1.0 - std::min(0.9, server.failing));
+        if (best != nullptr && score >= best_score) {
+            continue;
+        }
+        // A cold server is taken for a request only when its allowance permits.
+        if (is_cold(server, step.now)) {
+            auto trial = server;
+            if (!take_cold_token(step.state, trial, step.now)) {
+                continue;
+            }
+        }
+        best = &server;
+        best_score = score;
+    }
+    return best;
+}
+
+bool any_server(const step& step, const exchange& exchange) {
+    return std::any_of(step.state.servers.begin(), step.state.servers.end(), [&](const auto& entry) {
+        return entry.second.registration.service == exchange.service &&
+               takes_new_work(step.state, entry.second, step.now) &&
+               std::find(exchange.tried.begin(), exchange.tried.end(), entry.first) == exchange.tried.end();
+    });
+}
+
+/// Answers that this request would wait for in the queue, in time: the load is more than the servers' windows hold.
+std::chrono::microseconds expected_wait(const step& step, const exchange& exchange, std::size_t ahead) {
+    double rate = 0;
+    for (const auto& [id, server] : step.state.servers) {
+        if (server.registration.service == exchange.service && takes_new_work(step.state, server, step.now) &&
+            !is_cold(server, step.now)) {
+            rate += std::max(1.0, server.window) / static_cast<double>(expected_time(server, step.now).count());
+        }
+    }
+    if (rate <= 0) {
+        return exchange.timeout;
+    }
+    return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(ahead + 1) / rate));
+}
+
+/// Latest useful time of an answer, from the arrival: late answers are worth less, and delay those behind them.
+std::chrono::microseconds useful_time(const exchange& exchange) {
+    const std::chrono::microseconds late = exchange.timeout;
+    const auto share =
+        std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(late.count()) * late_share));
+    return std::max<std::chrono::microseconds>(exchange.objective, share);
+}
+
+template <class Queue>
+std::size_t ahead_of(const Queue& queue, const exchange& exchange, exchange_id id) {
+    return static_cast<std::size_t>(
+        std::distance(queue.begin(), queue.lower_bound({exchange.priority, exchange.request.arrived, id})));
+}
+
+void place_anywhere(step& step, exchange_id id) {
+    auto& exchange = step.state.exchanges.at(id);
+    auto* const server = choose_server(step, exchange);
+    if (server != nullptr && take_cold_token(step.state, *server, step.now)) {
+        send(step, id, *server);
+        return;
+    }
+    if (!any_server(step, exchange)) {
+        answer(step, id, result_code::request_no_backend_server, spread_retry_after(step));
+        return;
+    }
+    auto& queue = service_of(step, exchange).queue;
+    const auto wait = expected_wait(step, exchange, ahead_of(queue, exchange, id));
+    const auto spent = step.now - exchange.request.arrived;
+    if (spent + wait > useful_time(exchange)) {
+        answer(step, id, result_code::request_queue_full, spread_retry_after(step));
+        return;
+    }
+    exchange.phase = exchange_phase::queued;
+    exchange.queued_at = {};
+    queue.insert({exchange.priority, exchange.request.arrived, id});
+}
+
+void wait_for_owner(step& step, exchange_id id) {
+    auto& exchange = step.state.exchanges.at(id);
+    exchange.phase = exchange_phase::waiting;
+    service_of(step, exchange).waiting.insert(id);
+}
+
+/// Queues at the owner of the key unless the answer would come too late.
+void place_at_owner(step& step, exchange_id id) {
+    auto& exchange = step.state.exchanges.at(id);
+    const auto* const range = find_range(service_of(step, exchange).assignment, *exchange.request.key);
+    if (range == nullptr) {
+        answer(step, id, result_code::ownership_no_owner, spread_retry_after(step));
+        return;
+    }
+    const auto found = step.state.servers.find(range->owner);
+    const bool known = found != step.state.servers.end() && found->second.registration.born == range->owner_born;
+    const auto spent = step.now - exchange.request.arrived;
+    const auto patience = std::chrono::microseconds(
+        static_cast<std::int64_t>(static_cast<double>(exchange.objective.count()) * 1000 * move_wait_share));
+    if (range->moving() || exchange.not_before > step.now) {
+        if (spent > patience) {
+            answer(step, id, result_code::ownership_no_owner, spread_retry_after(step));
+            return;
+        }
+        wait_for_owner(step, id);
+        return;
+    }
+    if (!known || !serves_own_keys(found->second, step.now) || found->second.failures_in_row > 2) {
+        answer(step, id, result_code::ownership_no_owner, spread_retry_after(step));
+        return;
+    }
+    auto& server = found->second;
+    const auto ahead = ahead_of(server.queue, exchange, id);
+    if (ahead == 0 && has_room(server, step.now) && take_cold_token(step.state, server, step.now)) {
+        send(step, id, server);
+        return;
+    }
+    const double batches = static_cast<double>(ahead + 1) / std::max(1.0, server.window);
+    const auto wait = std::chrono::microseconds(
+        static_cast<std::int64_t>(static_cast<double>(expected_time(server, step.now).count()) * batches));
+    if (spent + wait > useful_time(exchange)) {
+        answer(step, id, result_code::request_queue_full, spread_retry_after(step));
+        return;
+    }
+    exchange.phase = exchange_phase::queued;
+    exchange.queued_at = range->owner;
+    server.queue.insert({exchange.priority, exchange.request.arrived, id});
+}
+
+void place(step& step, exchange_id id) {
+    const auto& exchange = step.state.exchanges.at(id);
+    if (divided_by_key(step.state, exchange.service)) {
+        place_at_owner(step, id);
+        return;
+    }
+    place_anywhere(step, id);
+}
+
+/// Places the request once more if limits and budget permit; false if it is to be answered.
+bool retry(step& step, exchange_id id, bool counts) {
+    auto& exchange = step.state.exchanges.at(id);
+    if (exchange.attempts_left <= 0 || exchange.give_up_at <= step.now + answer_margin) {
+        return false;
+    }
+    if (counts && !take_retry_token(service_of(step, exchange))) {
+        return false;
+    }
+    ++step.state.retries;
+    if (divided_by_key(step.state, exchange.service)) {
+        exchange.not_before = step.now + missing_key_pause;
+        wait_for_owner(step, id);
+        return true;
+    }
+    place(step, id);
+    return true;
+}
+
+void log_attempt(step& step, const exchange& exchange, const attempt_ended& event, std::chrono::microseconds elapsed) {
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
+    step.add(log_line{true,
+                      "attempt_failed",
+                      {text_field("request", exchange.request.request), text_field("server", exchange.server.value()),
+                       text_field("outcome", std::string(name_of(event.outcome))), number_field("status", event.status),
+                       number_field("attempt", exchange.attempts),
+                       number_field("reused_connection", event.reused_connection ? 1 : 0),
+                       number_field("after_ms", milliseconds)}});
+}
+
+} // namespace
+
+void admit(step& step, const request_arrived& event) {
+    auto& state = step.state;
+    const auto id = event.exchange;
+    auto& exchange = state.exchanges[id];
+    exchange.request = event;
+    if (state.configuration.version == 0) {
+        exchange.give_up_at = step.now;
+        answer(step, id, result_code::instance_not_ready, spread_retry_after(step));
+        return;
+    }
+    const auto* const route = find_route(state.configuration, event.host, event.path);
+    if (route == nullptr) {
+        state.exchanges.erase(id);
+        step.add(answer_caller{id, 404, result_code::request_service_unknown, {}});
+        step.add(
+            log_line{true,
+                     "route_unknown",
+                     {text_field("request", event.request), text_field("host", event.host),
+                      text_field("path", event.path), number_field("configuration", state.configuration.version)}});
+        return;
+    }
+    exchange.kind = route->kind;
+    exchange.priority = route->priority;
+    exchange.attempts_left = std::max(1, route->most_attempts);
+    exchange.objective = route->latency_objective;
+    exchange.timeout = route->timeout;
+    auto patience = std::chrono::duration_cast<std::chrono::microseconds>(route->timeout);
+    if (event.deadline.count() > 0) {
+        patience = std::min(patience, event.deadline - answer_margin);
+    }
+    exchange.give_up_at = event.arrived + patience;
+    exchange.service = choose_target(step, *route);
+    state.deadlines.insert({exchange.give_up_at, id});
+    auto& service = service_of(step, exchange);
+    service.retry_tokens = std::min(most_retry_tokens, service.retry_tokens + retry_share);
+    if (!divided_by_key(state, exchange.service)) {
+        place(step, id);
+        return;
+    }
+    if (!event.key) {
+        answer(step, id, result_code::request_key_missing, spread_retry_after(step));
+        return;
+    }
+    service.samples.emplace_back(step.now, *event.key);
+    if (service.samples.size() > key_samples) {
+        service.samples.pop_front();
+    }
+    place(step, id);
+}
+
+void forget_caller(step& step, exchange_id id) {
+    const auto found = step.state.exchanges.find(id);
+    if (found == step.state.exchanges.end()) {
+        return;
+    }
+    const auto& exchange = found->second;
+    if (exchange.phase == exchange_phase::sent) {
+        const auto server = step.state.servers.find(exchange.server);
+        if (server != step.state.servers.end()) {
+            --server->second.outstanding;
+        }
+        step.add(cancel_attempt{id, exchange.attempt});
+    }
+    forget(step, id);
+}
+
+void note_sent(step& step, const attempt_sent& event) {
+    const auto found = step.state.exchanges.find(event.exchange);
+    if (found != step.state.exchanges.end() && found->second.attempt == event.attempt) {
+        found->second.sending = true;
+    }
+}
+
+void end_attempt(step& step, const attempt_ended& event) {
+    const auto found = step.state.exchanges.find(event.exchange);
+    if (found == step.state.exchanges.end() || found->second.attempt != event.attempt) {
+        return;
+    }
+    auto& exchange = found->second;
+    const auto elapsed = step.now - exchange.attempt_at;
+    const auto server = step.state.servers.find(exchange.server);
+    if (server != step.state.servers.end()) {
+        --server->second.outstanding;
+        note_outcome(step, server->second, event, elapsed);
+    }
+    if (event.outcome == attempt_outcome::delivered) {
+        ++step.state.delivered;
+        forget(step, event.exchange);
+        return;
+    }
+    log_attempt(step, exchange, event, elapsed);
+    const bool idempotent = exchange.kind == request_kind::idempotent;
+    switch (event.outcome) {
+    case attempt_outcome::delivered:
+    case attempt_outcome::cut_short:
+        forget(step, event.exchange);
+        return;
+    case attempt_outcome::not_connected:
+        // Nothing reached a server, so the attempt does not count.
+        ++exchange.attempts_left;
+        if (!retry(step, event.exchange, false)) {
+            answer(step, event.exchange, result_code::request_backend_server_unreachable, spread_retry_after(step));
+        }
+        return;
+    case attempt_outcome::not_run:
+    case attempt_outcome::no_key:
+    case attempt_outcome::wrong_server:
+        if (event.outcome == attempt_outcome::wrong_server && server != step.state.servers.end()) {
+            remove_server(step, exchange.server);
+        }
+        // The server did not run it, so another one may.
+        ++exchange.attempts_left;
+        if (exchange.attempts > 2 || !retry(step, event.exchange, true)) {
+            answer(step, event.exchange, result_code::request_backend_server_refused, spread_retry_after(step));
+        }
+        return;
+    case attempt_outcome::failed:
+        exchange.may_have_run = true;
+        exchange.answer_kept = true;
+        if (!idempotent || divided_by_key(step.state, exchange.service) || !retry(step, event.exchange, true)) {
+            if (step.state.exchanges.contains(event.exchange)) {
+                step.add(deliver_answer{event.exchange});
+                forget(step, event.exchange);
+            }
+        }
+        return;
+    case attempt_outcome::connection_lost:
+    case attempt_outcome::invalid_answer:
+        exchange.may_have_run = true;
+        if (!idempotent || !retry(step, event.exchange, true)) {
+            if (step.state.exchanges.contains(event.exchange)) {
+                step.add(answer_caller{event.exchange, 502, result_code::request_answer_cut_short, {}});
+                ++step.state.refused[result_code::request_answer_cut_short];
+                forget(step, event.exchange);
+            }
+        }
+        return;
+    }
+}
+
+void give_up_late(step& step) {
+    while (!step.state.deadlines.empty() && step.state.deadlines.begin()->first <= step.now) {
+        const auto id = step.state.deadlines.begin()->second;
+        auto& exchange = step.state.exchanges.at(id);
+        if (exchange.phase == exchange_phase::sent) {
+            exchange.may_have_run = exchange.may_have_run || exchange.sending;
+            const auto server = step.state.servers.find(exchange.server);
+            if (server != step.state.servers.end()) {
+                --server->second.outstanding;
+                server->second.window = std::max(smallest_window, server->second.window - 0.5);
+            }
+            step.add(cancel_attempt{id, exchange.attempt});
+        }
+        answer(step, id, result_code::request_deadline_passed, spread_retry_after(step));
+    }
+}
+
+void serve_queues(step& step) {
+    auto& state = step.state;
+    std::vector<exchange_id> due;
+    for (auto& [name, service] : state.services) {
+        for (const auto id : service.waiting) {
+            due.push_back(id);
+        }
+        for (const auto& item : service.queue) {
+            due.push_back(std::get<2>(item));
+        }
+    }
+    for (auto& [id, server] : state.servers) {
+        if (server.queue.empty()) {
+            continue;
+        }
+        std::size_t tried = 0;
+        for (const auto& item : server.queue) {
+            // Beyond what fits, the order of the queue would only be looked at in vain.
+            if (++tried > static_cast<std::size_t>(largest_window) && serves_own_keys(server, step.now)) {
+                break;
+            }
+            due.push_back(std::get<2>(item));
+        }
+    }
+    for (const auto id : due) {
+        const auto found = state.exchanges.find(id);
+        if (found == state.exchanges.end() || found->second.phase == exchange_phase::sent) {
+            continue;
+        }
+        leave_queues(step, id, found->second);
+        place(step, id);
+    }
+}
+
+} // namespace lovagetack::routing
--- /dev/null
+++ b/source/routing/servers.cpp
@@ -0,0 +1,234 @@
+#include "routing/servers.hpp"
+
+#include <algorithm>
+#include <functional>
+
+#include "routing/log_fields.hpp"
+
+namespace lovagetack::routing {
+namespace {
+
+/// A share of requests that fail above which a server gets nothing for failing_pause.
+constexpr double failing_share = 0.35;
+
+/// Rank of an instance for a server: instances of its data centre first, else by hash.
+std::pair<bool, std::size_t> rank(const model::instance_id& instance, const instance_record& record,
+                                  const backend_server& server) {
+    return {record.data_centre != server.data_centre,
+            std::hash<std::string>{}(instance.value() + '/' + server.id.value())};
+}
+
+bool sends_to_cold(const state& state, const backend_server& server) {
+    const auto own = state.instances.find(state.self.instance);
+    if (own == state.instances.end()) {
+        return false;
+    }
+    const auto own_rank = rank(own->first, own->second, server);
+    const auto better = std::count_if(state.instances.begin(), state.instances.end(), [&](const auto& entry) {
+        return rank(entry.first, entry.second, server) < own_rank;
+    });
+    return static_cast<std::size_t>(better) < cold_senders;
+}
+
+void reset_life(server_record& record) {
+    record.window = first_window;
+    record.paused_until = {};
+    record.failures_in_row = 0;
+    record.service_time = assumed_service_time;
+    record.failing = 0;
+    record.load = {};
+    record.load_at = {};
+    record.answers = 0;
+    record.cold_tokens = 1;
+}
+
+} // namespace
+
+void learn_server(step& step, const backend_server& server) {
+    step.state.missing.erase(server.id);
+    auto [found, is_new] = step.state.servers.try_emplace(server.id);
+    auto& record = found->second;
+    const bool other_life = is_new || !record.registered || record.registration.born != server.born;
+    if (other_life) {
+        reset_life(record);
+        record.registered_at = step.now;
+        record.leaving_since.reset();
+    }
+    if (server.draining && !record.leaving_since) {
+        record.leaving_since = step.now;
+    }
+    if (!server.draining) {
+        record.leaving_since.reset();
+    }
+    if (step.state.evacuated.contains(server.data_centre) && !record.evacuated_since) {
+        record.evacuated_since = step.now;
+    }
+    record.cold_until = server.cold_left.count() > 0 ? step.now + server.cold_left : base::boot_time();
+    record.registration = server;
+    record.registered = true;
+    if (other_life || server.draining || server.cold_left.count() > 0) {
+        step.add(log_line{false,
+                          "backend_server_learned",
+                          {text_field("server", server.id.value()), text_field("service", server.service.value()),
+                           number_field("born", server.born), number_field("draining", server.draining ? 1 : 0),
+                           number_field("cold_ms", server.cold_left.count())}});
+    }
+}
+
+void remove_server(step& step, const model::backend_server_id& id) {
+    const auto found = step.state.servers.find(id);
+    if (found == step.state.servers.end() || !found->second.registered) {
+        return;
+    }
+    if (step.now < step.state.registry_doubtful_until || !step.state.store_reachable) {
+        step.state.missing.insert(id);
+        return;
+    }
+    found->second.registered = false;
+    if (!found->second.leaving_since) {
+        found->second.leaving_since = step.now;
+    }
+    step.add(log_line{false, "backend_server_removed", {text_field("server", id.value())}});
+}
+
+void note_contact(step& step, bool reachable) {
+    if (step.state.store_reachable == reachable) {
+        return;
+    }
+    step.state.store_reachable = reachable;
+    if (reachable) {
+        step.state.registry_doubtful_until = step.now + registry_return;
+    }
+    step.add(log_line{!reachable, reachable ? "store_regained" : "store_lost", {}});
+}
+
+void remove_missing(step& step) {
+    if (step.state.missing.empty() || !step.state.store_reachable || step.now < step.state.registry_doubtful_until) {
+        return;
+    }
+    for (const auto& id : std::exchange(step.state.missing, {})) {
+        remove_server(step, id);
+    }
+}
+
+void learn_evacuations(step& step, const std::set<model::data_centre_id>& data_centres) {
+    if (step.state.evacuated == data_centres) {
+        return;
+    }
+    step.state.evacuated = data_centres;
+    for (auto& [id, record] : step.state.servers) {
+        if (!data_centres.contains(record.registration.data_centre)) {
+            record.evacuated_since.reset();
+        } else if (!record.evacuated_since) {
+            record.evacuated_since = step.now;
+        }
+    }
+    std::string names;
+    for (const auto& name : data_centres) {
+        names += (names.empty() ? "" : ",") + name.value();
+    }
+    step.add(log_line{false, "evacuations_changed", {text_field("data_centres", names)}});
+}
+
+bool is_cold(const server_record& server, base::boot_time now) {
+    return server.cold_until > now;
+}
+
+bool may_own(const state& state, const server_record& server, base::boot_time now) {
+    return server.registered && !server.leaving_since && !state.evacuated.contains(server.registration.data_centre) &&
+           !is_cold(server, now);
+}
+
+bool takes_new_work(const state& state, const server_record& server, base::boot_time now) {
+    return server.registered && !server.leaving_since && !state.evacuated.contains(server.registration.data_centre) &&
+           server.paused_until <= now;
+}
+
+bool serves_own_keys(const server_record& server, base::boot_time now) {
+    return (!server.leaving_since || now - *server.leaving_since < leaving_service_time) &&
+           (!server.evacuated_since || now - *server.evacuated_since < evacuated_service_time);
+}
+
+bool has_room(const server_record& server, base::boot_time now) {
+    return server.paused_until <= now && server.outstanding < static_cast<std::int32_t>(server.window);
+}
+
+bool take_cold_token(const state& state, server_record& server, base::boot_time now) {
+    if (!is_cold(server, now)) {
+        return true;
+    }
+    if (!sends_to_cold(state, server.registration)) {
+        return false;
+    }
+    const auto settings = state.configuration.services.find(server.registration.service);
+    if (settings == state.configuration.services.end()) {
+        return false;
+    }
+    const double rate = settings->second.cold_rate * cold_rate_share / static_cast<double>(cold_senders);
+    const double passed = std::chrono::duration<double>(now - server.cold_tokens_at).count();
+    server.cold_tokens = std::min(1.0, server.cold_tokens + rate * passed);
+    server.cold_tokens_at = now;
+    if (server.cold_tokens < 1.0) {
+        return false;
+    }
+    server.cold_tokens -= 1.0;
+    return true;
+}
+
+std::chrono::microseconds expected_time(const server_record& server, base::boot_time now) {
+    const double slots = std::max(1, server.registration.slots);
+    double service = static_cast<double>(server.service_time.count());
+    // What the server said holds the less, the older it is: its queue is served meanwhile.
+    double others = 0;
+    const auto age = now - server.load_at;
+    if (age < report_age) {
+        const double fresh = 1.0 - static_cast<double>(age.count()) / static_cast<double>(report_age.count());
+        const double slowness = std::max(10, server.load.slowness) / 100.0;
+        service *= 1.0 + (slowness - 1.0) * fresh;
+        const double told = server.load.running + server.load.waiting;
+        others = std::max(0.0, told - static_cast<double>(age.count()) * slots / service);
+    }
+    const double ahead = std::max(others, static_cast<double>(server.outstanding));
+    const double queued = std::max(0.0, ahead + 1.0 - slots);
+    return std::chrono::microseconds(static_cast<std::int64_t>(service * (1.0 + queued / slots)));
+}
+
+void note_outcome(step& step, server_record& server, const attempt_ended& event, std::chrono::microseconds elapsed) {
+    if (event.load) {
+        server.load = *event.load;
+        server.load_at = step.now;
+    }
+    const bool good = event.outcome == attempt_outcome::delivered && event.status < 500;
+    const bool bad = event.outcome == attempt_outcome::failed || event.outcome == attempt_outcome::connection_lost ||
+                     event.outcome == attempt_outcome::invalid_answer || event.outcome == attempt_outcome::cut_short;
+    if (good || bad || event.outcome == attempt_outcome::not_run) {
+        server.failing += average_weight * ((good ? 0.0 : 1.0) - server.failing);
+    }
+    if (good) {
+        ++server.answers;
+        server.failures_in_row = 0;
+        server.window = std::min(largest_window, server.window + window_growth);
+        // With nothing waiting at the server the whole time was spent on work.
+        if (event.load && event.load->waiting == 0) {
+            const double usual = static_cast<double>(elapsed.count()) * 100.0 / std::max(10, event.load->slowness);
+            const double mean = static_cast<double>(server.service_time.count());
+            server.service_time =
+                std::chrono::microseconds(static_cast<std::int64_t>(mean + average_weight * (usual - mean)));
+        }
+        return;
+    }
+    if (event.outcome == attempt_outcome::not_run || event.outcome == attempt_outcome::connection_lost) {
+        server.window = std::max(smallest_window, server.window / 2);
+        server.paused_until = std::max(server.paused_until, step.now + full_pause);
+    }
+    if (event.outcome == attempt_outcome::not_connected) {
+        const auto pause = unreachable_pause * (1 << std::min(server.failures_in_row, 4));
+        ++server.failures_in_row;
+        server.paused_until = std::max(server.paused_until, step.now + std::min(longest_pause, pause));
+    }
+    if (bad && server.failing > failing_share) {
+        server.paused_until = std::max(server.paused_until, step.now + failing_pause);
+    }
+}
+
+} // namespace lovagetack::routing
--- /dev/null
+++ b/source/routing/state.hpp
@@ -0,0 +1,221 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/boot_time.hpp"
+#include "model/ids.hpp"
+#include "routing/assignment.hpp"
+#include "routing/catalogue.hpp"
+#include "routing/effect.hpp"
+#include "routing/event.hpp"
+#include "routing/limits.hpp"
+
+namespace lovagetack::routing {
+
+/// Who this instance is.
+struct identity {
+    model::instance_id instance;
+    model::data_centre_id data_centre;
+    std::uint64_t incarnation = 0;
+};
+
+/// What this instance knows of one backend server.
+struct server_record {
+    backend_server registration;
+    /// False once the registry has dropped it; kept while requests are under way.
+    bool registered = true;
+    base::boot_time registered_at;
+    /// When it began to leave, or its data centre's evacuation began.
+    std::optional<base::boot_time> leaving_since;
+    std::optional<base::boot_time> evacuated_since;
+    base::boot_time cold_until;
+
+    std::int32_t outstanding = 0;
+    double window = first_window;
+    base::boot_time paused_until;
+    std::int32_t failures_in_row = 0;
+
+    /// Time of one request without waiting, at usual speed.
+    std::chrono::microseconds service_time = assumed_service_time;
+    /// Share of the last requests that failed.
+    double failing = 0;
+    load_told load;
+    base::boot_time load_at;
+    /// Answers seen since the last load report of another life.
+    std::uint64_t answers = 0;
+
+    /// Requests that a cold server may get from this instance now.
+    double cold_tokens = 1;
+    base::boot_time cold_tokens_at;
+
+    /// Requests for this owner's keys, by urgency and arrival.
+    std::set<std::tuple<std::int32_t, base::boot_time, exchange_id>> queue;
+};
+
+/// What this instance knows of one service.
+struct service_record {
+    double retry_tokens = most_retry_tokens;
+    std::uint64_t assignment_version = 0;
+    routing::assignment assignment;
+    /// Requests for any server, by urgency and arrival.
+    std::set<std::tuple<std::int32_t, base::boot_time, exchange_id>> queue;
+    /// Requests for ranges that move or whose owner lost them.
+    std::set<exchange_id> waiting;
+    /// Keys requested lately.
+    std::deque<std::pair<base::boot_time, std::uint32_t>> samples;
+};
+
+enum class exchange_phase : std::uint8_t {
+    /// Waits for a server's window.
+    queued,
+    /// Waits for the owner of its key.
+    waiting,
+    sent,
+};
+
+/// One caller's request until its answer.
+struct exchange {
+    request_arrived request;
+    model::service_id service;
+    request_kind kind = request_kind::non_idempotent;
+    std::int32_t priority = 0;
+    std::int32_t attempts_left = 1;
+    std::chrono::milliseconds objective{0};
+    std::chrono::milliseconds timeout{0};
+    /// The earlier of the caller's deadline and the route's timeout.
+    base::boot_time give_up_at;
+    exchange_phase phase = exchange_phase::queued;
+    /// Waits at least until then.
+    base::boot_time not_before;
+    model::backend_server_id server;
+    model::attempt_id attempt;
+    base::boot_time attempt_at;
+    std::int32_t attempts = 0;
+    bool sending = false;
+    /// An earlier attempt may have run.
+    bool may_have_run = false;
+    /// A failure of a server is kept for the caller.
+    bool answer_kept = false;
+    std::vector<model::backend_server_id> tried;
+    /// Server whose queue it stands in; empty for the queue of the service.
+    model::backend_server_id queued_at;
+};
+
+/// The renewals of one range.
+struct grant_record {
+    base::boot_time sent_at;
+    bool under_way = false;
+};
+
+/// What the keeper knows of the grants of one owner.
+struct owner_record {
+    /// When a grant was last sent to it, and last confirmed by it.
+    base::boot_time sent_at;
+    base::boot_time confirmed_at;
+    /// When the last grant without an answer was sent: it may be carried out later.
+    base::boot_time unanswered_at;
+    std::int32_t under_way = 0;
+    std::int32_t failures_in_row = 0;
+};
+
+/// One move as the keeper knows it.
+struct move_record {
+    base::boot_time started_at;
+    base::boot_time release_sent_at;
+    bool release_under_way = false;
+    bool released = false;
+    std::string handover;
+    base::boot_time grant_sent_at;
+    bool grant_under_way = false;
+};
+
+/// Identifies a range of a service: its first key and fencing token.
+struct range_id {
+    model::service_id service;
+    std::uint32_t first = 0;
+    std::uint64_t fence = 0;
+    auto operator<=>(const range_id&) const = default;
+};
+
+enum class keeper_phase : std::uint8_t { idle, checking, claiming, reading, holding };
+
+/// The duty to assign and grant keys, as seen from this instance.
+struct keeper_state {
+    keeper_phase phase = keeper_phase::idle;
+    base::boot_time next_check;
+    std::uint64_t lease_version = 0;
+    keeper_lease lease;
+    /// What the write under way would make of it.
+    keeper_lease pending;
+    bool write_under_way = false;
+    bool read_under_way = false;
+    /// After a refusal, the next attempts.
+    base::boot_time next_write;
+    base::boot_time next_read;
+    /// The assignments were read under this lease; until then a change by the former holder may be missing.
+    bool assignments_current = false;
+    /// The store's clock: `store_time` was read between asked_at and answered_at.
+    std::int64_t store_time = 0;
+    base::boot_time asked_at;
+    base::boot_time answered_at;
+    base::boot_time renewed_at;
+    /// The holder before, while it may still renew grants, and the end of its right to.
+    model::instance_id former_holder;
+    std::uint64_t former_incarnation = 0;
+    base::boot_time former_right_until;
+    base::boot_time next_plan;
+    base::boot_time next_balance;
+    std::map<range_id, grant_record> grants;
+    std::map<range_id, move_record> moves;
+    std::map<model::backend_server_id, owner_record> owners;
+    /// Assignments that are not written yet, and those in the write under way.
+    std::map<model::service_id, assignment> changed;
+    std::map<model::service_id, assignment> writing;
+};
+
+/// Everything that the routing decisions remember. Only reduce() changes it.
+struct state {
+    state(identity id, std::uint64_t seed) : self(std::move(id)), random(seed) {}
+
+    identity self;
+    std::mt19937_64 random;
+    bool shutting_down = false;
+    bool registry_known = false;
+    bool assignments_known = false;
+
+    routing::configuration configuration;
+    std::set<model::data_centre_id> evacuated;
+    /// After an outage of the store, servers missing in the registry may come back until then.
+    base::boot_time registry_doubtful_until;
+    bool store_reachable = true;
+    std::set<model::backend_server_id> missing;
+    std::map<model::backend_server_id, server_record> servers;
+    std::map<model::service_id, service_record> services;
+    std::map<model::instance_id, instance_record> instances;
+    std::map<std::string, std::map<model::service_id, double>> split_credit;
+    std::unordered_map<exchange_id, exchange> exchanges;
+    /// Give-up times of the exchanges.
+    std::set<std::pair<base::boot_time, exchange_id>> deadlines;
+    keeper_state keeper;
+    std::uint64_t last_attempt = 0;
+
+    // Counters since the start, for metrics.
+    std::uint64_t delivered = 0;
+    std::map<base::result_code, std::uint64_t> refused;
+    std::uint64_t retries = 0;
+    std::uint64_t moves = 0;
+};
+
+/// Whether callers can be served: configuration, registry and assignments are known.
+[[nodiscard]] bool is_ready(const state& state);
+
+} // namespace lovagetack::routing
--- /dev/null
+++ b/source/routing/step.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/boot_time.hpp"
+#include "routing/effect.hpp"
+#include "routing/state.hpp"
+
+namespace lovagetack::routing {
+
+/// What the parts of one reduce() call share.
+struct step {
+    routing::state& state;
+    base::boot_time now;
+    routing::effects effects;
+
+    void add(effect item) { effects.push_back(std::move(item)); }
+};
+
+} // namespace lovagetack::routing
--- a/source/service/signal_watcher.hpp
+++ b/source/service/signal_watcher.hpp
@@ -7,11 +7,12 @@
 
 namespace lovagetack::service {
 
-/// Delivers SIGTERM and SIGINT in the event loop (signalfd), so that no code runs in a signal handler. There is one
+/// Delivers SIGTERM, SIGINT and SIGHUP in the event loop (signalfd), so that no code runs in a signal handler. There is one
 /// watcher in a process.
 class signal_watcher {
 public:
-    explicit signal_watcher(std::function<void()> on_signal);
+    /// SIGHUP is ignored without a function for it.
+    explicit signal_watcher(std::function<void()> on_stop, std::function<void()> on_reload = {});
     signal_watcher(const signal_watcher&) = delete;
     signal_watcher& operator=(const signal_watcher&) = delete;
     ~signal_watcher();
