--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -135,6 +135,9 @@
     note_keep_alive();
     phase_ = phase::body;
     const bool has_body = !reader_.complete();
+    if (has_body && !reader_.chunked() && !content_length(reader_.message())) {
+        stream_.watch_end();
+    }
     skipping_ = !handler_->is_own_answer(reader_.message());
     if (skipping_) {
         out_of_step_ = true;
--- a/source/http/socket_stream.cpp
+++ b/source/http/socket_stream.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <QHostAddress>
 #include <QNetworkProxy>
@@ -39,6 +41,28 @@
 socket_stream::~socket_stream() {
     QObject::disconnect(socket_.get(), nullptr, &context_, nullptr);
     socket_->abort();
+    unwatch_end();
+}
+
+void socket_stream::watch_end() {
+    if (watched_ < 0 && !closed_) {
+        watched_ = ::dup(static_cast<int>(socket_->socketDescriptor()));
+    }
+}
+
+void socket_stream::unwatch_end() {
+    if (watched_ >= 0) {
+        ::close(std::exchange(watched_, -1));
+    }
+}
+
+bool socket_stream::was_reset() const {
+    if (watched_ < 0) {
+        return false;
+    }
+    // After a reset both directions are over; after a regular end the sending one is open.
+    pollfd query{watched_, POLLIN, 0};
+    return ::poll(&query, 1, 0) > 0 && (query.revents & (POLLHUP | POLLERR)) != 0;
 }
 
 void socket_stream::watch_signals() {
@@ -71,7 +95,8 @@
         return;
     }
     closed_ = true;
-    closed_by_peer_ = by_peer;
+    closed_by_peer_ = by_peer && !was_reset();
+    unwatch_end();
     // A handler that runs inside a call of its own would find its state half changed, hence the detour.
     if (in_call_) {
         post([this] { observer_.stream_closed(); });
@@ -150,6 +175,7 @@
     closed_ = true;
     QObject::disconnect(socket_.get(), nullptr, &context_, nullptr);
     socket_->abort();
+    unwatch_end();
 }
 
 } // namespace lovagetack::http
--- a/source/http/socket_stream.hpp
+++ b/source/http/socket_stream.hpp
@@ -53,8 +53,10 @@
     [[nodiscard]] bool has_received() const;
     /// The connection ended, in whatever way.
     [[nodiscard]] bool is_closed() const { return closed_; }
-    /// The connection was ended by the peer in the regular way.
+    /// The connection was ended by the peer in the regular way. A reset counts as such unless watch_end was called.
     [[nodiscard]] bool closed_by_peer() const { return closed_by_peer_; }
+    /// From now on the end of the connection is told from a reset, which Qt reports as the same.
+    void watch_end();
 
     void write(std::string_view bytes);
     /// Bytes written that the kernel has not taken yet.
@@ -78,6 +80,8 @@
     };
 
     void watch_signals();
+    [[nodiscard]] bool was_reset() const;
+    void unwatch_end();
     void note_end(bool by_peer);
 
     observer& observer_;
@@ -87,6 +91,8 @@
     bool closed_ = false;
     bool closed_by_peer_ = false;
     bool in_call_ = false;
+    /// A second descriptor of the connection, which outlives Qt's; -1 if there is none.
+    int watched_ = -1;
     /// Receiver of all signals; destroyed first, which ends them.
     deferred_calls context_;
 };
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -93,10 +93,16 @@
     step.add(std::move(rows));
 }
 
-/// The assignment with the changes that are not written yet.
+/// The assignment with the changes that are not written yet, or whose write is under way.
 const assignment& newest(const step& step, const model::service_id& service) {
-    const auto changed = step.state.keeper.changed.find(service);
-    return changed != step.state.keeper.changed.end() ? changed->second : step.state.services.at(service).assignment;
+    const auto& keeper = step.state.keeper;
+    if (const auto changed = keeper.changed.find(service); changed != keeper.changed.end()) {
+        return changed->second;
+    }
+    if (const auto writing = keeper.writing.find(service); writing != keeper.writing.end()) {
+        return writing->second;
+    }
+    return step.state.services.at(service).assignment;
 }
 
 // Grants.
@@ -126,11 +132,9 @@
 void renew_grants(step& step, const model::service_id& service, const service_record& record) {
     auto& keeper = step.state.keeper;
     for (const auto& range : record.assignment.ranges) {
-        // A range that a pending change takes away is not renewed: its grant has to end.
+        // A range that a pending change takes away or divides is not renewed: its grant has to end.
         const auto* const later = find_range(newest(step, service), range.first);
-        const auto writing = keeper.writing.find(service);
-        const auto* const written = writing != keeper.writing.end() ? find_range(writing->second, range.first) : &range;
-        if (range.moving() || later == nullptr || later->moving() || written == nullptr || written->moving()) {
+        if (range.moving() || later == nullptr || *later != range) {
             continue;
         }
         const auto* const server = owner_of(step.state, range);
@@ -255,6 +259,13 @@
     return !server->registered || server->leaving_since || server->evacuated_since || is_lost(step, range.owner);
 }
 
+/// Whether all servers that start at the same time have probably registered.
+bool has_settled(const step& step, const model::service_id& service) {
+    return std::none_of(step.state.servers.begin(), step.state.servers.end(), [&](const auto& entry) {
+        return entry.second.registration.service == service && step.now - entry.second.registered_at < settling_time;
+    });
+}
+
 move_stage stage_of(const step& step, const model::service_id& service, const key_range& range) {
     const auto& keeper = step.state.keeper;
     const auto found = keeper.moves.find({service, range.first, range.fence});
@@ -270,6 +281,9 @@
     assignment next = newest(step, service);
     const auto able = candidates(step, service);
     if (next.ranges.empty()) {
+        if (!has_settled(step, service)) {
+            return;
+        }
         next = first_assignment(able);
         if (!next.ranges.empty()) {
             keeper.changed[service] = std::move(next);
@@ -549,6 +563,7 @@
             break;
         }
     }
+    keeper.moves.erase(move);
     keeper.grants[id].sent_at = event.sent_at;
 }
 
@@ -565,6 +580,18 @@
     }
 }
 
+/// Whether the changes are to be written now: nothing else is about to change, or they have waited.
+bool has_gathered(step& step) {
+    auto& keeper = step.state.keeper;
+    if (keeper.changed.empty()) {
+        keeper.changed_at = step.now;
+        return false;
+    }
+    const bool others = std::any_of(keeper.moves.begin(), keeper.moves.end(),
+                                    [](const auto& entry) { return entry.second.grant_under_way; });
+    return !others || step.now - keeper.changed_at >= write_gathering;
+}
+
 void keep(step& step) {
     auto& keeper = step.state.keeper;
     if (has_new_incarnation(step.state, keeper.former_holder, keeper.former_incarnation)) {
@@ -592,7 +619,8 @@
         plan_all(step);
         for (const auto& [name, record] : step.state.services) {
             for (const auto& range : record.assignment.ranges) {
-                if (range.moving()) {
+                const auto* const later = find_range(newest(step, name), range.first);
+                if (range.moving() && later != nullptr && *later == range) {
                     continue_move(step, name, range);
                 }
             }
@@ -600,7 +628,7 @@
     }
     const bool due = step.now - keeper.renewed_at >= lease_renewal;
     if (keeper.phase == keeper_phase::holding && !keeper.write_under_way && step.now >= keeper.next_write &&
-        (due || (!keeper.changed.empty() && may_change(step)))) {
+        (due || (has_gathered(step) && may_change(step)))) {
         if (!may_change(step)) {
             // The lease may have passed to another holder, which a condition on its version will show.
             keeper.changed.clear();
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -98,8 +98,14 @@
 /// Samples that the width of all ranges together counts for, as long as little is known.
 inline constexpr double prior_samples = 12;
 inline constexpr std::size_t fewest_samples = 20;
-/// Load of the most loaded owner, relative to the mean, above which keys move.
-inline constexpr double tolerated_imbalance = 1.7;
+/// Load of the most loaded owner, relative to its fair share, above which keys move.
+inline constexpr double tolerated_imbalance = 1.6;
+/// The excess has to be above this many standard deviations of the sample, since a change costs calls to the store.
+inline constexpr double certain_excess = 3.0;
+/// The first assignment waits until no server of the service has registered for this long.
+inline constexpr std::chrono::microseconds settling_time = 700ms;
+/// Changes of an assignment wait this long for others to be written with them.
+inline constexpr std::chrono::microseconds write_gathering = 40ms;
 inline constexpr std::size_t moves_per_plan = 6;
 /// An owner has at most this many ranges before small ones are merged.
 inline constexpr std::size_t ranges_per_owner = 4;
--- a/source/routing/plan.cpp
+++ b/source/routing/plan.cpp
@@ -1,6 +1,7 @@
 #include "routing/plan.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "routing/limits.hpp"
@@ -168,7 +169,10 @@
         const auto& least = loads.least();
         // A server without any keys joins even when nothing is overloaded.
         const bool joins = loads.relative(least) < least_part / 2;
-        if (loads.relative(most) < tolerated_imbalance && !joins) {
+        const double fair = loads.fair(most);
+        const bool overloaded =
+            loads.relative(most) > tolerated_imbalance && -loads.room(most) > certain_excess * std::sqrt(fair + 1);
+        if (!overloaded && !joins) {
             return changed;
         }
         const double excess = std::min(-loads.room(most), loads.room(least));
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -179,6 +179,8 @@
     std::map<model::backend_server_id, owner_record> owners;
     /// Assignments that are not written yet, and those in the write under way.
     std::map<model::service_id, assignment> changed;
+    /// When the first of them was made, or nothing was changed.
+    base::boot_time changed_at;
     std::map<model::service_id, assignment> writing;
 };
 
