routing, gateway: single ownership through changes of the keeper; a begun answer is not replaced

Change: each term gives all ranges new tokens, a release counts only for an owner that has accepted one of them, a keeper that paused asks the store first, one that hears another holder stops; a begun answer is left to the caller's own deadline.

--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -96,6 +96,7 @@
             return;
         }
         start_passing();
+        owner_.answer_begun({effect_.exchange, effect_.attempt});
         bytes = answer_.body;
     }
     exchange_.caller->answer_body(bytes);
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -53,6 +53,7 @@
         virtual ~owner() = default;
 
         virtual void attempt_sent(const routing::attempt_sent& event) = 0;
+        virtual void answer_begun(const routing::answer_begun& event) = 0;
         /// The attempt may be destroyed after this call returned to the event loop.
         virtual void attempt_over(exchange& exchange, const routing::attempt_ended& event) = 0;
     };
--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -113,6 +113,10 @@
     on_event_(event);
 }
 
+void relay::answer_begun(const routing::answer_begun& event) {
+    on_event_(event);
+}
+
 void relay::attempt_over(exchange& exchange, const routing::attempt_ended& event) {
     const auto id = exchange.id;
     if (exchange.current) {
@@ -167,6 +171,12 @@
     }
     const auto caller = std::exchange(item->caller, nullptr);
     caller->set_tag(0);
+    if (caller->answer_started()) {
+        // What was begun cannot be taken back; a reset tells the caller that it is not complete.
+        caller->abort();
+        erase(effect.exchange);
+        return;
+    }
     caller->answer_error(effect.status, effect.code, base::name_of(effect.code),
                          dialect_.own_fields(item->header.request, effect.retry_after));
     erase(effect.exchange);
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -217,6 +217,12 @@
     model::attempt_id attempt;
 };
 
+/// A part of the server's answer has gone to the caller, so that no other answer can.
+struct answer_begun {
+    exchange_id exchange = 0;
+    model::attempt_id attempt;
+};
+
 struct attempt_ended {
     exchange_id exchange = 0;
     model::attempt_id attempt;
@@ -236,6 +242,6 @@
                            backend_server_learned, backend_server_removed, registry_complete, assignment_learned,
                            assignments_complete, instance_learned, instance_removed, lease_read, rows_written,
                            assignments_read, grant_ended, release_ended, instance_load, request_arrived, caller_left,
-                           attempt_sent, attempt_ended, ticked, shutdown_begun>;
+                           attempt_sent, answer_begun, attempt_ended, ticked, shutdown_begun>;
 
 } // namespace lovagetack::routing
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -25,10 +25,14 @@
     return keeper.store_time + milliseconds(now - keeper.asked_at) + 1;
 }
 
-bool may_change(const step& step) {
+/// Nobody else can hold the duty.
+bool lease_holds(const step& step) {
     const auto& keeper = step.state.keeper;
-    return keeper.phase == keeper_phase::holding &&
-           latest_store_time(keeper, step.now) < keeper.lease.until - clock_margin.count();
+    return latest_store_time(keeper, step.now) < keeper.lease.until - clock_margin.count();
+}
+
+bool may_change(const step& step) {
+    return step.state.keeper.phase == keeper_phase::holding && lease_holds(step);
 }
 
 bool may_renew(const step& step) {
@@ -154,22 +158,19 @@
 // Moves.
 
 /// Whether the leaving owner's grant of the range has ended for sure.
-bool has_ended(const step& step, const key_range& range, const move_record& move) {
+bool has_ended(const step& step, const model::service_id& service, const key_range& range, const move_record& move) {
     const auto& keeper = step.state.keeper;
-    const auto server = step.state.servers.find(range.leaving);
-    if (server != step.state.servers.end() && server->second.registration.born > range.leaving_born) {
-        // The life that held the keys is over.
-        return true;
-    }
-    const bool former_may_renew = step.now < keeper.former_right_until;
     const auto owner = keeper.owners.find(range.leaving);
     const auto sent = owner != keeper.owners.end() ? owner->second.sent_at : base::boot_time();
     const auto unanswered = owner != keeper.owners.end() ? owner->second.unanswered_at : base::boot_time();
-    if (move.released && !former_may_renew && step.now > unanswered + longest_hold()) {
+    // Once the owner has seen a token of this term, grants of former holders are rejected there.
+    const bool guarded = keeper.confirmed.contains({service, range.leaving_fence});
+    const auto foreign = std::max(keeper.former_right_until, keeper.started_at);
+    if (move.released && step.now > unanswered + longest_hold() && (guarded || step.now > foreign + longest_hold())) {
         return true;
     }
     // Renewals ended before the move began.
-    const auto last = std::max(std::min(sent, move.started_at), keeper.former_right_until);
+    const auto last = std::max(std::min(sent, move.started_at), foreign);
     return step.now > last + longest_hold();
 }
 
@@ -197,7 +198,7 @@
     if (is_new) {
         move.started_at = step.now;
     }
-    if (!has_ended(step, range, move)) {
+    if (!has_ended(step, service, range, move)) {
         release(step, service, range, move);
         return;
     }
@@ -296,7 +297,10 @@
     bool changed = move_lost_ranges(next, inputs);
     const bool settled =
         std::none_of(next.ranges.begin(), next.ranges.end(), [](const key_range& range) { return range.moving(); });
-    if (!changed && balancing && settled) {
+    const bool guarded = std::all_of(next.ranges.begin(), next.ranges.end(), [&](const key_range& range) {
+        return keeper.confirmed.contains({service, range.fence});
+    });
+    if (!changed && balancing && settled && guarded) {
         changed = merge_ranges(next, able.size() * ranges_per_owner);
         if (inputs.load.samples() >= fewest_samples) {
             changed = balance(next, inputs) || changed;
@@ -345,7 +349,8 @@
     }
 }
 
-/// Gives all ranges new fencing tokens, so that grants of a former holder that still runs are rejected.
+/// Gives all ranges new fencing tokens, so that grants of a former holder that are still on their way, or that it still
+/// sends, are rejected.
 void refence(step& step) {
     auto& keeper = step.state.keeper;
     for (const auto& [name, record] : step.state.services) {
@@ -374,6 +379,9 @@
     };
     std::erase_if(keeper.grants, [&](const auto& entry) { return !stands(entry.first); });
     std::erase_if(keeper.moves, [&](const auto& entry) { return !stands(entry.first); });
+    while (keeper.confirmed.size() > remembered_tokens) {
+        keeper.confirmed.erase(keeper.confirmed.begin());
+    }
 }
 
 bool apply(step& step, const model::service_id& service, std::uint64_t version, const assignment& assignment) {
@@ -437,6 +445,8 @@
     const bool former_ended = own || right <= 0 || has_new_incarnation(step.state, former.holder, former.incarnation);
     keeper.former_right_until = former_ended ? step.now : step.now + std::chrono::milliseconds(right) + clock_margin;
     keeper.assignments_current = false;
+    keeper.confirmed.clear();
+    keeper.started_at = step.now;
     keeper.lease_version = event.version;
     keeper.lease = {};
     keeper.lease.renewals_until = former_ended ? 0 : former.renewals_until;
@@ -504,12 +514,13 @@
         keeper.next_read = step.now + store_retry;
         return;
     }
-    const bool begins = !keeper.assignments_current;
+    // A term that goes on after a pause keeps its tokens.
+    const bool begins = !keeper.assignments_current && keeper.confirmed.empty();
     keeper.assignments_current = true;
     keeper.phase = keeper_phase::holding;
     keeper.next_plan = step.now;
     forget_old_records(step);
-    if (begins && step.now < keeper.former_right_until) {
+    if (begins) {
         refence(step);
     }
 }
@@ -528,6 +539,7 @@
         if (event.outcome == grant_outcome::accepted) {
             owner.failures_in_row = 0;
             owner.confirmed_at = std::max(owner.confirmed_at, event.sent_at);
+            keeper.confirmed.insert({event.service, event.fence});
         } else {
             ++owner.failures_in_row;
         }
@@ -564,6 +576,7 @@
         }
     }
     keeper.moves.erase(move);
+    keeper.confirmed.insert({event.service, event.fence});
     keeper.grants[id].sent_at = event.sent_at;
 }
 
@@ -580,6 +593,19 @@
     }
 }
 
+/// After a pause of this instance the duty may have passed on, and servers may have begun another life.
+void check_pause(step& step) {
+    auto& keeper = step.state.keeper;
+    const bool paused = step.now - std::exchange(keeper.kept_at, step.now) > longest_pause_of_keeper;
+    if (!paused || keeper.phase != keeper_phase::holding) {
+        return;
+    }
+    step.add(log_line{true, "keeper_paused", {}});
+    keeper.assignments_current = false;
+    keeper.changed.clear();
+    keeper.phase = keeper_phase::reading;
+}
+
 /// Whether the changes are to be written now: nothing else is about to change, or they have waited.
 bool has_gathered(step& step) {
     auto& keeper = step.state.keeper;
@@ -594,6 +620,7 @@
 
 void keep(step& step) {
     auto& keeper = step.state.keeper;
+    check_pause(step);
     if (has_new_incarnation(step.state, keeper.former_holder, keeper.former_incarnation)) {
         keeper.former_right_until = std::min(keeper.former_right_until, step.now);
     }
@@ -641,6 +668,14 @@
     }
 }
 
+void hear_keeper(step& step) {
+    step.state.keeper_heard_at = step.now;
+    const auto phase = step.state.keeper.phase;
+    if ((phase == keeper_phase::holding || phase == keeper_phase::reading) && !lease_holds(step)) {
+        stand_down(step, "another holder was heard");
+    }
+}
+
 void resign(step& step) {
     auto& keeper = step.state.keeper;
     if (keeper.phase != keeper_phase::holding || keeper.write_under_way || !may_change(step)) {
--- a/source/routing/keeper.hpp
+++ b/source/routing/keeper.hpp
@@ -20,6 +20,9 @@
 /// Checks or renews the lease, renews grants, continues moves, and plans new ones.
 void keep(step& step);
 
+/// Another instance says that it holds the duty.
+void hear_keeper(step& step);
+
 /// Hands the duty over.
 void resign(step& step);
 
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -120,6 +120,10 @@
 /// Changes of an assignment wait this long for others to be written with them.
 inline constexpr std::chrono::microseconds write_gathering = 40ms;
 inline constexpr std::size_t moves_per_plan = 6;
+/// A keeper that has not run for this long asks the store whether it still is one before it acts.
+inline constexpr std::chrono::microseconds longest_pause_of_keeper = 400ms;
+/// Accepted fencing tokens that are remembered, the lowest forgotten first.
+inline constexpr std::size_t remembered_tokens = 4096;
 /// An owner has at most this many ranges before small ones are merged.
 inline constexpr std::size_t ranges_per_owner = 4;
 
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "routing/keeper.hpp"
+
 namespace lovagetack::routing {
 namespace {
 
@@ -76,7 +78,7 @@
         }
     }
     if (event.is_keeper) {
-        step.state.keeper_heard_at = step.now;
+        hear_keeper(step);
     }
 }
 
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -100,6 +100,10 @@
     note_sent(step, event);
 }
 
+void on(step& step, const answer_begun& event) {
+    note_answer(step, event);
+}
+
 void on(step& step, const attempt_ended& event) {
     end_attempt(step, event);
 }
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -406,6 +406,14 @@
     }
 }
 
+void note_answer(step& step, const answer_begun& event) {
+    const auto found = step.state.exchanges.find(event.exchange);
+    if (found != step.state.exchanges.end() && found->second.attempt == event.attempt) {
+        // The rest is delivered even if it is late; only the caller can end it now.
+        step.state.deadlines.erase({found->second.give_up_at, event.exchange});
+    }
+}
+
 void end_attempt(step& step, const attempt_ended& event) {
     const auto found = step.state.exchanges.find(event.exchange);
     if (found == step.state.exchanges.end() || found->second.attempt != event.attempt) {
--- a/source/routing/requests.hpp
+++ b/source/routing/requests.hpp
@@ -9,6 +9,7 @@
 void admit(step& step, const request_arrived& event);
 void forget_caller(step& step, exchange_id id);
 void note_sent(step& step, const attempt_sent& event);
+void note_answer(step& step, const answer_begun& event);
 void end_attempt(step& step, const attempt_ended& event);
 
 /// Ends the requests whose time is over.
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -180,6 +180,11 @@
     model::instance_id former_holder;
     std::uint64_t former_incarnation = 0;
     base::boot_time former_right_until;
+    base::boot_time kept_at;
+    /// When the present term began.
+    base::boot_time started_at;
+    /// Fencing tokens that their owners have accepted from this holder in this term.
+    std::set<std::pair<model::service_id, std::uint64_t>> confirmed;
     base::boot_time next_plan;
     base::boot_time next_balance;
     std::map<range_id, grant_record> grants;
--- a/source/service/signal_watcher.hpp
+++ b/source/service/signal_watcher.hpp
@@ -7,8 +7,8 @@
 
 namespace lovagetack::service {
 
-/// Delivers SIGTERM, SIGINT and SIGHUP in the event loop (signalfd), so that no code runs in a signal handler. There is one
-/// watcher in a process.
+/// Delivers SIGTERM, SIGINT and SIGHUP in the event loop (signalfd), so that no code runs in a signal handler. There is
+/// one watcher in a process.
 class signal_watcher {
 public:
     /// SIGHUP is ignored without a function for it.
--- /dev/null
+++ b/tests/operators_platform/decode_test.cpp
@@ -0,0 +1,108 @@
+#include <catch2/catch.hpp>
+
+#include "decode.hpp"
+
+namespace lovagetack::operators_platform {
+namespace {
+
+const QByteArray settings_text = R"({"node": "front-mahebourg-1", "zone": "mahebourg", "ip": "10.1.0.34",
+    "listen": {"front": "10.1.0.34:8548", "ready": "10.1.0.34:8542"}, "internal_ports": [7540, 7555],
+    "limits": {"memory_mb": 260, "max_fds": 4100}, "heartbeat_ms": 870, "bounds": {"grace_s": 6},
+    "provider": {"address": "10.200.1.7:8541"}, "a_new_field": true})";
+
+const QByteArray configuration_text = R"({"version": "r7",
+    "routes": [
+      {"name": "a", "host": "h.example", "prefix": "/look/", "route_type": "safe", "timeout_ms": 1000,
+       "target_latency_ms": 300, "priority": 2, "max_attempts": 2,
+       "traffic_split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]},
+      {"name": "b", "host": "h.example", "prefix": "/look/at/", "route_type": "unsafe", "timeout_ms": 1200,
+       "target_latency_ms": 400, "priority": 1, "service": "s2", "max_attempts": 2},
+      {"name": "c", "host": "h.example", "prefix": "/new/", "route_type": "of-another-kind", "timeout_ms": 1200,
+       "target_latency_ms": 400, "priority": 1, "service": "s2", "max_attempts": 2}],
+    "services": [{"name": "s1", "health_path": "/health", "max_conns": 110, "cold_period_s": 3.0, "cold_per_s": 6.3,
+                  "sharded": true}, {"name": "s2", "health_path": "/health", "max_conns": 110}],
+    "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})";
+
+QByteArray registration(const QByteArray& status, const QByteArray& rest = R"(,"born": 1789)") {
+    return R"({"address": "10.128.0.9:8080", "info": {"service": "s1", "version": "v1", "zone": "mahebourg", "slots": 2},
+              "status": )" +
+           status + rest + "}";
+}
+
+} // namespace
+
+TEST_CASE("settings are decoded, and unknown fields are ignored") {
+    const auto settings = decode_settings("local.json", settings_text);
+    REQUIRE(settings);
+    REQUIRE(settings.value().instance.value() == "front-mahebourg-1");
+    REQUIRE(settings.value().callers == model::address{"10.1.0.34", 8548});
+    REQUIRE(settings.value().store == model::address{"10.200.1.7", 8541});
+    REQUIRE(settings.value().first_internal_port == 7540);
+    REQUIRE(settings.value().grace == std::chrono::seconds(6));
+}
+
+TEST_CASE("a fault of the settings names file, field and expectation") {
+    auto broken = settings_text;
+    broken.replace("10.1.0.34:8542", "10.1.0.34");
+    const auto settings = decode_settings("local.json", broken);
+    REQUIRE_FALSE(settings);
+    REQUIRE(settings.error().message == "local.json: listen.ready: expected IP:PORT");
+    REQUIRE_FALSE(decode_settings("local.json", "[]"));
+}
+
+TEST_CASE("a configuration is decoded") {
+    const auto decoded = decode_configuration(configuration_text);
+    REQUIRE(decoded);
+    const auto& configuration = decoded.value();
+    REQUIRE(configuration.version == 7);
+    REQUIRE(configuration.routes[0].kind == routing::request_kind::idempotent);
+    REQUIRE(configuration.routes[0].targets.size() == 2);
+    REQUIRE(configuration.routes[0].targets[1].weight == 10);
+    REQUIRE(configuration.routes[1].kind == routing::request_kind::non_idempotent);
+    REQUIRE(configuration.limits.body_bytes == 1000);
+    REQUIRE(configuration.services.at(model::service_id("s1")).divided_by_key);
+    REQUIRE(configuration.services.at(model::service_id("s1")).cold_rate == Approx(6.3));
+}
+
+TEST_CASE("requests of an unknown kind of route are not repeated") {
+    const auto decoded = decode_configuration(configuration_text);
+    REQUIRE(decoded.value().routes[2].kind == routing::request_kind::non_idempotent);
+}
+
+TEST_CASE("the longest prefix of the host selects the route") {
+    const auto configuration = decode_configuration(configuration_text).value();
+    REQUIRE(routing::find_route(configuration, "h.example", "/look/at/2f?x=/new/")->name == "b");
+    REQUIRE(routing::find_route(configuration, "h.example", "/look/2f")->name == "a");
+    REQUIRE(routing::find_route(configuration, "h.example", "/loo") == nullptr);
+    REQUIRE(routing::find_route(configuration, "other.example", "/look/2f") == nullptr);
+}
+
+TEST_CASE("a configuration that cannot be read is rejected") {
+    REQUIRE_FALSE(decode_configuration("{\"version\": \"r7\", \"rou"));
+    REQUIRE_FALSE(decode_configuration(R"({"version": 7, "routes": []})"));
+    REQUIRE_FALSE(decode_configuration(R"({"version": "r8", "routes": [{"name": "a", "prefix": "/a/"}]})"));
+}
+
+TEST_CASE("a registration is decoded") {
+    const auto server =
+        decode_registration("i-1", registration(R"({"state": "ready", "seq": 4, "cold_remaining_ms": 20})"));
+    REQUIRE(server);
+    REQUIRE(server->id.value() == "i-1");
+    REQUIRE(server->born == 1789);
+    REQUIRE(server->slots == 2);
+    REQUIRE_FALSE(server->draining);
+    REQUIRE(server->cold_left == std::chrono::milliseconds(20));
+    REQUIRE(decode_registration("i-1", registration(R"({"state": "draining"})"))->draining);
+}
+
+TEST_CASE("an entry of another writer names no server") {
+    REQUIRE_FALSE(decode_registration("i-1", "bytes"));
+    REQUIRE_FALSE(decode_registration("i-1", registration(R"({"state": "resting"})")));
+    REQUIRE_FALSE(decode_registration("i-1", registration("7")));
+    REQUIRE_FALSE(decode_registration("i-1", registration(R"({"state": "ready"})", R"(,"born": "soon")")));
+    REQUIRE_FALSE(decode_registration("i-1", registration(R"({"state": "ready"})", R"(,"born": 17.5)")));
+    REQUIRE_FALSE(decode_registration("i-1", registration(R"({"state": "ready", "cold_remaining_ms": "long"})")));
+    REQUIRE_FALSE(decode_registration("i-1", R"({"address": "nowhere", "info": {}, "status": {"state": "ready"}})"));
+}
+
+} // namespace lovagetack::operators_platform
--- /dev/null
+++ b/tests/operators_platform/store_test.cpp
@@ -0,0 +1,155 @@
+#include <catch2/catch.hpp>
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include "base/json.hpp"
+#include "platform/fake_http_server.hpp"
+#include "store.hpp"
+
+namespace lovagetack::operators_platform {
+namespace {
+
+using platform::fake_answer;
+using platform::fake_request;
+
+QJsonObject row(const char* table, const char* key, const QByteArray& value, int version) {
+    return {{"table", table},
+            {"part", ""},
+            {"key", key},
+            {"value", QString::fromLatin1(value.toBase64())},
+            {"ver", version}};
+}
+
+fake_answer rows(const QJsonArray& rows, int version) {
+    return {200, QJsonDocument(QJsonObject{{"rows", rows}, {"has_more", false}, {"ver", version}, {"now_ms", 5000}})
+                     .toJson(QJsonDocument::Compact)};
+}
+
+const QByteArray server_value = R"({"address": "10.128.0.9:8080", "born": 5,
+    "info": {"service": "s1", "zone": "mahebourg", "slots": 2}, "status": {"state": "ready"}})";
+
+/// A store whose answers the test scripts, and the events that come of them.
+struct fixture {
+    fixture() {
+        server = std::make_unique<platform::fake_http_server>(
+            [this](const fake_request& request) { return on_request(request); });
+        gateway::settings settings;
+        settings.instance = model::instance_id("one");
+        settings.data_centre = model::data_centre_id("mahebourg");
+        settings.store = server->address();
+        client = std::make_unique<store>(settings, [this](const routing::event& event) { events.push_back(event); });
+    }
+
+    template <class Event>
+    std::vector<Event> all() const {
+        std::vector<Event> found;
+        for (const auto& event : events) {
+            if (const auto* match = std::get_if<Event>(&event)) {
+                found.push_back(*match);
+            }
+        }
+        return found;
+    }
+
+    platform::application application;
+    std::function<std::optional<fake_answer>(const fake_request&)> on_request;
+    std::unique_ptr<platform::fake_http_server> server;
+    std::vector<routing::event> events;
+    std::unique_ptr<store> client;
+};
+
+} // namespace
+
+TEST_CASE("tables are read whole and then followed, and a row never goes back") {
+    fixture test;
+    int follows = 0;
+    test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
+        if (request.path.contains("rows-tx")) {
+            return fake_answer{200, R"({"ver": 1, "now_ms": 1})"};
+        }
+        if (!request.path.contains("table=servers")) {
+            return request.path.contains("rows-feed") ? std::nullopt : std::optional(rows({}, 5));
+        }
+        if (request.path.contains("rows-get")) {
+            // The first copy is old; after the history was lost it is stale once more.
+            return follows < 2 ? rows({row("servers", "i-1", server_value, 5)}, 5)
+                               : rows({row("servers", "i-2", server_value, 9)}, 9);
+        }
+        ++follows;
+        if (follows == 1) {
+            return rows({row("servers", "i-2", server_value, 7)}, 7);
+        }
+        if (follows == 2) {
+            return fake_answer{410, "{}"};
+        }
+        return std::nullopt;
+    };
+    test.client->start({});
+    REQUIRE(platform::wait_until([&] { return follows >= 3; }));
+    REQUIRE(test.all<routing::registry_complete>().size() == 2);
+    const auto learned = test.all<routing::backend_server_learned>();
+    REQUIRE(learned.size() == 3);
+    REQUIRE(learned[0].server.id.value() == "i-1");
+    REQUIRE(learned[1].server.id.value() == "i-2");
+    const auto removed = test.all<routing::backend_server_removed>();
+    REQUIRE(removed.size() == 1);
+    REQUIRE(removed[0].id.value() == "i-1");
+}
+
+TEST_CASE("outcomes of writes are told apart") {
+    fixture test;
+    int status = 200;
+    bool answers = true;
+    test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
+        if (!request.path.contains("rows-tx") || !answers) {
+            return std::nullopt;
+        }
+        const auto body = QJsonDocument::fromJson(request.body).object();
+        REQUIRE(body.value("expect").toArray().at(0).toObject().value("ver").toInt() == 12);
+        REQUIRE(body.value("puts").toArray().size() == 2);
+        return fake_answer{status, R"({"ver": 13, "now_ms": 777})"};
+    };
+    routing::write_rows effect;
+    effect.expected_lease_version = 12;
+    effect.lease.holder = model::instance_id("one");
+    effect.assignments.emplace_back(model::service_id("s1"), routing::assignment());
+    const std::vector<std::pair<int, routing::write_outcome>> expected = {{200, routing::write_outcome::written},
+                                                                          {412, routing::write_outcome::conflict},
+                                                                          {503, routing::write_outcome::refused},
+                                                                          {429, routing::write_outcome::refused},
+                                                                          {500, routing::write_outcome::unknown}};
+    for (const auto& [next, outcome] : expected) {
+        status = next;
+        test.events.clear();
+        test.client->execute(effect);
+        REQUIRE(platform::wait_until([&] { return !test.all<routing::rows_written>().empty(); }));
+        REQUIRE(test.all<routing::rows_written>().front().outcome == outcome);
+    }
+    answers = false;
+    test.events.clear();
+    test.client->execute(effect);
+    REQUIRE(platform::wait_until([&] { return !test.all<routing::rows_written>().empty(); }));
+    REQUIRE(test.all<routing::rows_written>().front().outcome == routing::write_outcome::unknown);
+}
+
+TEST_CASE("a lease is read with the store's clock") {
+    fixture test;
+    routing::keeper_lease lease;
+    lease.holder = model::instance_id("two");
+    lease.until = 123;
+    test.on_request = [&](const fake_request& /*request*/) -> std::optional<fake_answer> {
+        return rows({row("lovagetack-lease", "keeper", QByteArray::fromStdString(base::to_json_text(lease)), 44)}, 50);
+    };
+    test.client->execute(routing::read_lease{});
+    REQUIRE(platform::wait_until([&] { return !test.all<routing::lease_read>().empty(); }));
+    const auto read = test.all<routing::lease_read>().front();
+    REQUIRE(read.answered);
+    REQUIRE(read.version == 44);
+    REQUIRE(read.lease->holder.value() == "two");
+    REQUIRE(read.lease->until == 123);
+    REQUIRE(read.store_time == 5000);
+}
+
+} // namespace lovagetack::operators_platform
--- /dev/null
+++ b/tests/routing/deployment.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "routing/reduce.hpp"
+#include "routing/state.hpp"
+
+namespace lovagetack::routing::testing {
+
+using namespace std::chrono_literals;
+
+/// A backend server that holds keys by grants, as the platform describes it.
+struct fake_server {
+    backend_server registration;
+    bool up = true;
+    /// Per key: the highest fencing token seen, and the end of the grant.
+    std::vector<std::uint64_t> seen = std::vector<std::uint64_t>(key_count, 0);
+    std::vector<base::boot_time> until = std::vector<base::boot_time>(key_count);
+};
+
+/// One instance: the decisions, and whether it runs and reaches the store.
+struct fake_instance {
+    std::unique_ptr<routing::state> state;
+    bool runs = true;
+    bool reaches_store = true;
+    /// Counts the lives, so that what was sent to an earlier one is dropped.
+    int life = 0;
+    base::boot_time frozen_until;
+};
+
+/// Several instances, a store and backend servers in simulated time. Notes each break of single ownership.
+class deployment {
+public:
+    deployment(int instances, int servers, std::uint64_t seed);
+
+    void run_for(std::chrono::microseconds time);
+    [[nodiscard]] base::boot_time now() const { return now_; }
+
+    void kill(int instance);
+    void restart(int instance);
+    void freeze(int instance, std::chrono::microseconds time);
+    void cut_from_store(int instance, bool cut);
+    void set_store_down(bool down) { store_down_ = down; }
+    /// Share of the writes that are done and not answered; `late`: done seconds later.
+    void lose_answers(double share, bool late);
+    /// Share of the grants that get no answer and are carried out seconds later.
+    void delay_grants(double share) { late_grants_ = share; }
+    void crash_server(int server);
+    /// The registry learns that it leaves.
+    void drain_server(int server);
+    /// A new life under the same id, with nothing held.
+    void revive_server(int server);
+    void evacuate(const std::string& data_centre, bool on);
+    void request_key(std::uint32_t key);
+
+    /// The index of the instance that holds the duty; -1 without one.
+    [[nodiscard]] int keeper() const;
+    /// Servers that hold the key now.
+    [[nodiscard]] std::vector<std::string> holders(std::uint32_t key) const;
+    /// Share of the keys that a running, registered server holds.
+    [[nodiscard]] double held_share() const;
+    [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
+    [[nodiscard]] const routing::assignment& assignment() const { return assignment_; }
+    [[nodiscard]] std::uint64_t writes() const { return writes_; }
+    [[nodiscard]] routing::state& state_of(int instance) {
+        return *instances_[static_cast<std::size_t>(instance)].state;
+    }
+    [[nodiscard]] int instances() const { return static_cast<int>(instances_.size()); }
+    [[nodiscard]] int servers() const { return static_cast<int>(servers_.size()); }
+
+private:
+    struct item {
+        base::boot_time at;
+        std::uint64_t sequence;
+        std::function<void()> function;
+        bool operator<(const item& other) const { return std::tie(at, sequence) > std::tie(other.at, other.sequence); }
+    };
+
+    void at(std::chrono::microseconds delay, std::function<void()> function);
+    void deliver(int instance, int life, std::chrono::microseconds delay, const event& event);
+    void apply(int instance, const event& event);
+    void tick(int instance, int life);
+    void introduce(int instance);
+    void announce(const event& event);
+
+    void execute(int instance, const send_request& /*effect*/) { (void)instance; }
+    void execute(int instance, const cancel_attempt& /*effect*/) { (void)instance; }
+    void execute(int instance, const deliver_answer& /*effect*/) { (void)instance; }
+    void execute(int instance, const answer_caller& /*effect*/) { (void)instance; }
+    void execute(int instance, const log_line& /*effect*/) { (void)instance; }
+    void execute(int instance, const send_load& effect);
+    void execute(int instance, const grant_range& effect);
+    void execute(int instance, const release_range& effect);
+    void execute(int instance, const read_lease& effect);
+    void execute(int instance, const read_assignments& effect);
+    void execute(int instance, const write_rows& effect);
+
+    void note(std::uint32_t first, std::uint32_t last, std::uint64_t fence, const std::string& text);
+    void note_violation(std::uint32_t key, const std::string& text);
+    fake_server* find(const model::address& address);
+    grant_outcome carry_out(fake_server& server, const grant_range& effect);
+    write_outcome commit(const write_rows& effect, std::uint64_t& version);
+    [[nodiscard]] std::int64_t store_time() const;
+    double chance() { return static_cast<double>(random_() % 10000) / 10000.0; }
+
+    base::boot_time now_{std::chrono::seconds(100)};
+    std::mt19937_64 random_;
+    std::priority_queue<item> items_;
+    std::uint64_t sequence_ = 0;
+    std::vector<fake_instance> instances_;
+    std::vector<fake_server> servers_;
+    std::set<model::data_centre_id> evacuated_;
+    bool store_down_ = false;
+    double lost_answers_ = 0;
+    bool late_writes_ = false;
+    double late_grants_ = 0;
+    std::uint64_t version_ = 0;
+    std::uint64_t lease_version_ = 0;
+    keeper_lease lease_;
+    std::uint64_t assignment_version_ = 0;
+    routing::assignment assignment_;
+    std::uint64_t writes_ = 0;
+    std::vector<std::string> violations_;
+    /// What was done to ranges lately, for the explanation of a violation.
+    struct action {
+        base::boot_time at;
+        std::uint32_t first = 0;
+        std::uint32_t last = 0;
+        std::string text;
+    };
+    std::vector<action> actions_;
+};
+
+inline const model::service_id keyed_service{"board"};
+
+} // namespace lovagetack::routing::testing
--- /dev/null
+++ b/tests/routing/ownership_test.cpp
@@ -0,0 +1,215 @@
+#include <catch2/catch.hpp>
+
+#include "routing/deployment.hpp"
+
+namespace lovagetack::routing::testing {
+namespace {
+
+void require_single_ownership(const deployment& deployment) {
+    for (const auto& text : deployment.violations()) {
+        UNSCOPED_INFO(text);
+    }
+    REQUIRE(deployment.violations().empty());
+}
+
+} // namespace
+
+TEST_CASE("every key gets one owner after the start") {
+    deployment deployment(9, 8, 1);
+    deployment.run_for(3s);
+    REQUIRE(deployment.keeper() >= 0);
+    REQUIRE(deployment.held_share() == 1.0);
+    REQUIRE(deployment.holders(0).size() == 1);
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("keys of a crashed server are served again after its grant has ended") {
+    deployment deployment(9, 8, 2);
+    deployment.run_for(5s);
+    deployment.crash_server(3);
+    deployment.run_for(4500ms);
+    REQUIRE(deployment.held_share() == 1.0);
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("keys of a leaving server move while it still serves") {
+    deployment deployment(9, 8, 3);
+    deployment.run_for(5s);
+    deployment.drain_server(3);
+    deployment.run_for(600ms);
+    REQUIRE(deployment.held_share() == 1.0);
+    for (const auto& range : deployment.assignment().ranges) {
+        REQUIRE(range.owner != model::backend_server_id("server-3"));
+    }
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("grants do not lapse when the keeper is lost") {
+    deployment deployment(9, 8, 4);
+    deployment.run_for(5s);
+    deployment.kill(deployment.keeper());
+    double least = 1.0;
+    for (int step = 0; step < 40; ++step) {
+        deployment.run_for(100ms);
+        least = std::min(least, deployment.held_share());
+    }
+    REQUIRE(deployment.keeper() >= 0);
+    REQUIRE(deployment.held_share() == 1.0);
+    // A part of the keys may lapse for a moment between the last renewal and the new keeper's first one.
+    REQUIRE(least > 0.0);
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("a keeper that freezes does not act on what it knew before") {
+    deployment deployment(9, 8, 5);
+    deployment.run_for(5s);
+    const int frozen = deployment.keeper();
+    deployment.freeze(frozen, 6s);
+    deployment.run_for(4s);
+    REQUIRE(deployment.keeper() != frozen);
+    deployment.crash_server(1);
+    deployment.run_for(20s);
+    REQUIRE(deployment.held_share() == 1.0);
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("keys stay served while the store is down") {
+    deployment deployment(9, 8, 6);
+    deployment.run_for(5s);
+    deployment.set_store_down(true);
+    for (int step = 0; step < 80; ++step) {
+        deployment.run_for(100ms);
+        REQUIRE(deployment.held_share() == 1.0);
+    }
+    deployment.set_store_down(false);
+    deployment.run_for(3s);
+    REQUIRE(deployment.held_share() == 1.0);
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("a keeper that the store turns away is replaced, and keys stay served") {
+    deployment deployment(9, 8, 7);
+    deployment.run_for(5s);
+    const int turned_away = deployment.keeper();
+    deployment.cut_from_store(turned_away, true);
+    deployment.run_for(4s);
+    REQUIRE(deployment.held_share() == 1.0);
+    deployment.drain_server(2);
+    deployment.run_for(8s);
+    deployment.cut_from_store(turned_away, false);
+    deployment.run_for(5s);
+    REQUIRE(deployment.held_share() == 1.0);
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("a server that starts again under its id gets keys with a higher token") {
+    deployment deployment(9, 8, 8);
+    deployment.run_for(5s);
+    deployment.crash_server(4);
+    deployment.run_for(300ms);
+    deployment.revive_server(4);
+    deployment.run_for(2s);
+    REQUIRE(deployment.held_share() == 1.0);
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("load on neighbouring keys is divided among servers") {
+    deployment deployment(9, 16, 9);
+    deployment.run_for(5s);
+    std::mt19937 random(7);
+    for (int step = 0; step < 60; ++step) {
+        for (int request = 0; request < 7; ++request) {
+            // 40% of the requests are about 200 neighbouring keys.
+            deployment.request_key(request < 3 ? 20000 + random() % 200 : random() % key_count);
+        }
+        deployment.run_for(50ms);
+    }
+    deployment.run_for(500ms);
+    std::set<model::backend_server_id> owners;
+    for (std::uint32_t key = 20000; key < 20200; ++key) {
+        owners.insert(find_range(deployment.assignment(), key)->owner);
+    }
+    REQUIRE(owners.size() >= 4);
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("a finished move is written once") {
+    // Every renewal of the moved range used to write the assignment again.
+    deployment deployment(3, 8, 10);
+    deployment.run_for(5s);
+    deployment.drain_server(2);
+    deployment.run_for(1s);
+    const auto before = deployment.writes();
+    deployment.run_for(7s);
+    // Only the renewals of the lease, one in lease_renewal.
+    REQUIRE(deployment.writes() - before <= 11);
+}
+
+TEST_CASE("ownership stays single through random faults") {
+    const auto seed = GENERATE(range(1, 121));
+    INFO("seed " << seed);
+    deployment deployment(7, 9, static_cast<std::uint64_t>(seed));
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed) * 7919);
+    deployment.run_for(4s);
+    for (int fault = 0; fault < 14; ++fault) {
+        const int instance = static_cast<int>(random() % static_cast<unsigned>(deployment.instances()));
+        const int server = static_cast<int>(random() % static_cast<unsigned>(deployment.servers()));
+        const int target = random() % 2 == 0 && deployment.keeper() >= 0 ? deployment.keeper() : instance;
+        switch (random() % 10) {
+        case 0:
+            deployment.kill(target);
+            break;
+        case 1:
+            deployment.restart(target);
+            break;
+        case 2:
+            deployment.freeze(target, std::chrono::milliseconds(500 + random() % 8000));
+            break;
+        case 3:
+            deployment.cut_from_store(target, random() % 3 != 0);
+            break;
+        case 4:
+            deployment.set_store_down(random() % 2 == 0);
+            break;
+        case 5:
+            deployment.lose_answers(random() % 2 == 0 ? 0.4 : 0.0, random() % 2 == 0);
+            break;
+        case 6:
+            deployment.delay_grants(random() % 2 == 0 ? 0.4 : 0.0);
+            break;
+        case 7:
+            deployment.drain_server(server);
+            break;
+        case 8:
+            deployment.crash_server(server);
+            break;
+        case 9:
+            deployment.revive_server(server);
+            break;
+        }
+        for (int request = 0; request < 60; ++request) {
+            deployment.request_key(30000 + random() % 300);
+        }
+        deployment.run_for(std::chrono::milliseconds(50 + random() % 2500));
+    }
+    require_single_ownership(deployment);
+    deployment.lose_answers(0, false);
+    deployment.delay_grants(0);
+    deployment.set_store_down(false);
+    for (int number = 0; number < deployment.instances(); ++number) {
+        deployment.restart(number);
+        deployment.cut_from_store(number, false);
+    }
+    for (int number = 0; number < deployment.servers(); ++number) {
+        deployment.crash_server(number);
+    }
+    deployment.run_for(200ms);
+    for (int number = 0; number < deployment.servers(); ++number) {
+        deployment.revive_server(number);
+    }
+    deployment.run_for(16s);
+    require_single_ownership(deployment);
+    REQUIRE(deployment.held_share() == 1.0);
+}
+
+} // namespace lovagetack::routing::testing
--- /dev/null
+++ b/tests/routing/requests_test.cpp
@@ -0,0 +1,368 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "routing/reduce.hpp"
+
+namespace lovagetack::routing::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+const model::service_id board{"board"};
+const model::service_id book{"book"};
+
+backend_server server_of(const std::string& id, const model::service_id& service) {
+    backend_server server;
+    server.id = model::backend_server_id(id);
+    server.service = service;
+    server.address = {"10.0.0.1", static_cast<std::uint16_t>(1000 + std::hash<std::string>{}(id) % 5000)};
+    server.data_centre = model::data_centre_id("north");
+    server.born = 7;
+    server.slots = 2;
+    return server;
+}
+
+route route_to(const std::string& prefix, request_kind kind, const model::service_id& service) {
+    route route;
+    route.name = prefix;
+    route.host = "host";
+    route.path_prefix = prefix;
+    route.kind = kind;
+    route.timeout = 1000ms;
+    route.latency_objective = 300ms;
+    route.most_attempts = 2;
+    route.targets = {{service, 1}};
+    return route;
+}
+
+/// One instance with two services: `board` divided by key, `book` not.
+class instance {
+public:
+    explicit instance(int servers = 3)
+        : state_(identity{model::instance_id("one"), model::data_centre_id("north"), 1}, 5) {
+        state_.instances[model::instance_id("one")] = {model::data_centre_id("north"), 1, {}};
+        configuration configuration;
+        configuration.version = 3;
+        configuration.services[board] = {board, "/health", 100, 6.0, 3000ms, true};
+        configuration.services[book] = {book, "/health", 100, 6.0, 3000ms, false};
+        configuration.routes = {route_to("/look/", request_kind::idempotent, board),
+                                route_to("/pay/", request_kind::non_idempotent, book),
+                                route_to("/get/", request_kind::idempotent, book)};
+        apply(configuration_learned{configuration});
+        for (int number = 0; number < servers; ++number) {
+            apply(backend_server_learned{server_of("book-" + std::to_string(number), book)});
+        }
+        apply(backend_server_learned{server_of("board-0", board)});
+        apply(registry_complete{});
+        key_range whole;
+        whole.last = key_count - 1;
+        whole.owner = model::backend_server_id("board-0");
+        whole.owner_born = 7;
+        whole.fence = 1;
+        apply(assignment_learned{board, 1, {2, {whole}}});
+        apply(assignments_complete{});
+    }
+
+    effects apply(const event& event) {
+        auto done = reduce(state_, now_, event);
+        all_.insert(all_.end(), done.begin(), done.end());
+        return done;
+    }
+
+    exchange_id request(const std::string& path, std::chrono::milliseconds deadline = 2000ms) {
+        request_arrived event;
+        event.exchange = ++last_;
+        event.request = "id-" + std::to_string(last_);
+        event.host = "host";
+        event.path = path;
+        event.key = 77;
+        event.deadline = deadline;
+        event.arrived = now_;
+        apply(event);
+        return last_;
+    }
+
+    void pass(std::chrono::milliseconds time) {
+        for (auto left = time; left > 0ms; left -= 10ms) {
+            now_ += 10ms;
+            apply(ticked{});
+        }
+    }
+
+    /// Attempts that were sent for the request.
+    std::vector<send_request> sent(exchange_id id) const {
+        std::vector<send_request> found;
+        for (const auto& effect : all_) {
+            if (const auto* send = std::get_if<send_request>(&effect); send != nullptr && send->exchange == id) {
+                found.push_back(*send);
+            }
+        }
+        return found;
+    }
+
+    std::vector<answer_caller> answers(exchange_id id) const {
+        std::vector<answer_caller> found;
+        for (const auto& effect : all_) {
+            if (const auto* answer = std::get_if<answer_caller>(&effect); answer != nullptr && answer->exchange == id) {
+                found.push_back(*answer);
+            }
+        }
+        return found;
+    }
+
+    template <class Effect>
+    std::size_t count() const {
+        return static_cast<std::size_t>(std::count_if(
+            all_.begin(), all_.end(), [](const auto& effect) { return std::holds_alternative<Effect>(effect); }));
+    }
+
+    void end(exchange_id id, attempt_outcome outcome, int status = 0) {
+        const auto attempts = sent(id);
+        apply(attempt_sent{id, attempts.back().attempt});
+        apply(attempt_ended{id, attempts.back().attempt, outcome, status, false, std::nullopt});
+    }
+
+    routing::state& state() { return state_; }
+
+private:
+    routing::state state_;
+    base::boot_time now_{1000s};
+    exchange_id last_ = 0;
+    effects all_;
+};
+
+} // namespace
+
+TEST_CASE("a non-idempotent request that may have run is not sent again") {
+    instance instance;
+    const auto outcome = GENERATE(attempt_outcome::connection_lost, attempt_outcome::invalid_answer);
+    const auto id = instance.request("/pay/1");
+    instance.end(id, outcome);
+    instance.pass(1500ms);
+    REQUIRE(instance.sent(id).size() == 1);
+    REQUIRE(instance.answers(id).size() == 1);
+    REQUIRE(instance.answers(id).front().status == 502);
+}
+
+TEST_CASE("a non-idempotent request that surely has not run is sent to another server") {
+    instance instance;
+    const auto outcome =
+        GENERATE(attempt_outcome::not_run, attempt_outcome::not_connected, attempt_outcome::wrong_server);
+    const auto id = instance.request("/pay/1");
+    instance.end(id, outcome, 503);
+    REQUIRE(instance.sent(id).size() == 2);
+    REQUIRE(instance.sent(id)[0].server != instance.sent(id)[1].server);
+    instance.end(id, attempt_outcome::delivered, 200);
+    REQUIRE(instance.answers(id).empty());
+    REQUIRE(instance.state().exchanges.empty());
+}
+
+TEST_CASE("an idempotent request is sent again after a lost answer, to so many servers at most") {
+    instance instance(4);
+    const auto id = instance.request("/get/1");
+    instance.end(id, attempt_outcome::connection_lost);
+    REQUIRE(instance.sent(id).size() == 2);
+    instance.end(id, attempt_outcome::connection_lost);
+    REQUIRE(instance.sent(id).size() == 2);
+    // It may have run, so that 503 would not be true.
+    REQUIRE(instance.answers(id).front().status == 502);
+}
+
+TEST_CASE("retries stay within the budget when servers fail all requests") {
+    instance instance(8);
+    std::size_t attempts = 0;
+    for (int number = 0; number < 100; ++number) {
+        const auto id = instance.request("/get/1");
+        instance.end(id, attempt_outcome::failed, 500);
+        if (instance.sent(id).size() > 1) {
+            instance.end(id, attempt_outcome::failed, 500);
+        }
+        attempts += instance.sent(id).size();
+        instance.pass(500ms);
+    }
+    REQUIRE(attempts <= 100 + 100 * retry_share + most_retry_tokens);
+}
+
+TEST_CASE("a request that is still under way at its time limit ends with 504, one that was not sent with 503") {
+    instance instance(1);
+    const auto sent = instance.request("/pay/1");
+    instance.apply(attempt_sent{sent, instance.sent(sent).back().attempt});
+    instance.pass(1100ms);
+    REQUIRE(instance.answers(sent).front().status == 504);
+    REQUIRE(instance.count<cancel_attempt>() == 1);
+
+    key_range moving;
+    moving.last = key_count - 1;
+    moving.owner = model::backend_server_id("board-0");
+    moving.owner_born = 7;
+    moving.fence = 2;
+    moving.leaving = model::backend_server_id("board-1");
+    instance.apply(assignment_learned{board, 2, {3, {moving}}});
+    const auto waiting = instance.request("/look/1");
+    instance.pass(1100ms);
+    REQUIRE(instance.sent(waiting).empty());
+    REQUIRE(instance.answers(waiting).front().status == 503);
+    REQUIRE(instance.answers(waiting).front().retry_after > 0ms);
+}
+
+TEST_CASE("an answer that has begun is not replaced at the time limit") {
+    instance instance;
+    const auto id = instance.request("/get/1");
+    instance.apply(attempt_sent{id, instance.sent(id).back().attempt});
+    instance.apply(answer_begun{id, instance.sent(id).back().attempt});
+    instance.pass(1500ms);
+    REQUIRE(instance.answers(id).empty());
+    REQUIRE(instance.count<cancel_attempt>() == 0);
+    instance.apply(attempt_ended{id, instance.sent(id).back().attempt, attempt_outcome::delivered, 200, false, {}});
+    REQUIRE(instance.state().exchanges.empty());
+}
+
+TEST_CASE("work for a caller who has left is cancelled") {
+    instance instance;
+    const auto id = instance.request("/get/1");
+    instance.apply(caller_left{id});
+    REQUIRE(instance.count<cancel_attempt>() == 1);
+    REQUIRE(instance.state().exchanges.empty());
+    for (const auto& [name, server] : instance.state().servers) {
+        REQUIRE(server.outstanding == 0);
+    }
+}
+
+TEST_CASE("what cannot be answered within the objective is refused at once") {
+    // The load: three times what the owner of the keys can serve.
+    instance instance;
+    std::size_t refused = 0;
+    for (int number = 0; number < 60; ++number) {
+        const auto id = instance.request("/look/1");
+        refused += instance.answers(id).size();
+    }
+    REQUIRE(refused > 30);
+    for (exchange_id id = 1; id <= 60; ++id) {
+        for (const auto& answer : instance.answers(id)) {
+            REQUIRE(answer.status == 503);
+            REQUIRE(answer.retry_after >= shortest_retry_after);
+        }
+    }
+}
+
+TEST_CASE("urgent requests are sent first when a place becomes free") {
+    instance instance(1);
+    auto configuration = instance.state().configuration;
+    configuration.version = 4;
+    configuration.routes[1].priority = 1;
+    configuration.routes[2].priority = 2;
+    instance.apply(configuration_learned{configuration});
+    std::vector<exchange_id> running;
+    while (instance.state().services[book].queue.empty()) {
+        running.push_back(instance.request("/get/1"));
+    }
+    const auto urgent = instance.request("/pay/1");
+    REQUIRE(instance.sent(urgent).empty());
+    instance.end(running.front(), attempt_outcome::delivered, 200);
+    REQUIRE(instance.sent(urgent).size() == 1);
+}
+
+TEST_CASE("an instance without configuration does not deny a route") {
+    routing::state state(identity{model::instance_id("one"), model::data_centre_id("north"), 1}, 5);
+    request_arrived event;
+    event.exchange = 1;
+    event.path = "/look/1";
+    const auto done = reduce(state, base::boot_time(1s), event);
+    const auto* const answer = std::get_if<answer_caller>(&done.front());
+    REQUIRE(answer != nullptr);
+    REQUIRE(answer->status == 503);
+    REQUIRE_FALSE(is_ready(state));
+}
+
+TEST_CASE("an unknown route is answered with 404, and an older configuration never returns") {
+    instance instance;
+    const auto id = instance.request("/other/1");
+    REQUIRE(instance.answers(id).front().status == 404);
+    configuration older;
+    older.version = 2;
+    instance.apply(configuration_learned{older});
+    REQUIRE(instance.state().configuration.version == 3);
+}
+
+TEST_CASE("a server that leaves gets nothing new") {
+    instance instance(2);
+    auto leaving = server_of("book-0", book);
+    leaving.draining = true;
+    instance.apply(backend_server_learned{leaving});
+    for (int number = 0; number < 4; ++number) {
+        const auto id = instance.request("/get/1");
+        REQUIRE(instance.sent(id).front().server == model::backend_server_id("book-1"));
+    }
+}
+
+TEST_CASE("registrations that lapse during an outage of the store stay in use until they had time to return") {
+    instance instance(2);
+    instance.apply(store_contact{false});
+    instance.apply(backend_server_removed{model::backend_server_id("book-0")});
+    instance.apply(backend_server_removed{model::backend_server_id("book-1")});
+    instance.pass(500ms);
+    instance.apply(store_contact{true});
+    instance.pass(1000ms);
+    const auto id = instance.request("/get/1");
+    REQUIRE(instance.sent(id).size() == 1);
+    instance.end(id, attempt_outcome::delivered, 200);
+    instance.pass(1500ms);
+    REQUIRE(instance.answers(instance.request("/get/2")).size() == 1);
+}
+
+TEST_CASE("a cold server gets no more than its rate from the instances that may use it") {
+    instance instance(0);
+    auto cold = server_of("book-9", book);
+    cold.cold_left = 3000ms;
+    instance.apply(backend_server_learned{cold});
+    std::size_t sent = 0;
+    for (int number = 0; number < 100; ++number) {
+        const auto id = instance.request("/get/1");
+        if (!instance.sent(id).empty()) {
+            ++sent;
+            instance.end(id, attempt_outcome::delivered, 200);
+        }
+        instance.pass(20ms);
+    }
+    // In two seconds: a share of 6 a second for this instance, and the first one.
+    REQUIRE(sent <= 2 * 6 * cold_rate_share / static_cast<double>(cold_senders) + 1);
+    REQUIRE(sent >= 4);
+}
+
+TEST_CASE("a split keeps the stated shares") {
+    instance instance;
+    auto configuration = instance.state().configuration;
+    configuration.version = 4;
+    const model::service_id other{"other"};
+    configuration.services[other] = {other, "/health", 100, 6.0, 3000ms, false};
+    configuration.routes[2].targets = {{book, 90}, {other, 10}};
+    instance.apply(configuration_learned{configuration});
+    std::map<model::service_id, int> shares;
+    for (int number = 0; number < 400; ++number) {
+        const auto id = instance.request("/get/1");
+        const auto found = instance.state().exchanges.find(id);
+        ++shares[found == instance.state().exchanges.end() ? other : found->second.service];
+        instance.apply(caller_left{id});
+    }
+    REQUIRE(shares[other] == Approx(40).margin(4));
+}
+
+TEST_CASE("places that other instances use are counted") {
+    instance instance(1);
+    instance_load load;
+    load.instance = model::instance_id("two");
+    load.incarnation = 1;
+    load.sequence = 1;
+    load.servers = {{model::backend_server_id("book-0"), 9, 0, std::nullopt, 0ms}};
+    instance.apply(load);
+    const auto id = instance.request("/get/1");
+    REQUIRE(instance.sent(id).empty());
+    load.sequence = 2;
+    load.servers.clear();
+    instance.apply(load);
+    const auto next = instance.request("/get/1");
+    REQUIRE(instance.sent(next).size() == 1);
+}
+
+} // namespace lovagetack::routing::testing
