--- /dev/null
+++ b/tests/gateway/relay_test.cpp
@@ -0,0 +1,205 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dialect.hpp"
+#include "gateway/load_exchange.hpp"
+#include "gateway/relay.hpp"
+#include "http/sockets.hpp"
+
+namespace lovagetack::gateway {
+namespace {
+
+using routing::attempt_outcome;
+using test::raw_socket;
+
+/// A relay that sends every request to one listener; the test plays caller and backend server by hand.
+struct fixture {
+    fixture() {
+        test::ensure_application();
+        server = std::make_unique<test::raw_listener>();
+        relay = std::make_unique<gateway::relay>(
+            dialect, [this](const routing::event& event) { on_event(event); }, 64);
+        REQUIRE(relay->listen({"127.0.0.1", port = test::unused_port()}));
+        caller = std::make_unique<raw_socket>(port);
+    }
+
+    void on_event(const routing::event& event) {
+        events.push_back(event);
+        if (const auto* arrived = std::get_if<routing::request_arrived>(&event)) {
+            send(arrived->exchange);
+        }
+    }
+
+    void send(routing::exchange_id exchange) {
+        relay->execute(routing::send_request{exchange,
+                                             model::attempt_id(++attempts),
+                                             model::backend_server_id("i-1"),
+                                             {"127.0.0.1", server->port()},
+                                             std::chrono::milliseconds(700),
+                                             false});
+    }
+
+    attempt_outcome outcome() {
+        test::run_until([this] { return ended() != nullptr; });
+        return ended()->outcome;
+    }
+
+    const routing::attempt_ended* ended() const {
+        for (auto at = events.rbegin(); at != events.rend(); ++at) {
+            if (const auto* found = std::get_if<routing::attempt_ended>(&*at)) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+
+    void ask(const std::string& id = "abc") {
+        caller->send("GET /look/1?x=2 HTTP/1.1\r\nHost: h\r\nLovagetack-Request-Id: " + id +
+                     "\r\nLovagetack-Deadline-Ms: 2000\r\nLovagetack-Expected-Instance: forged\r\n\r\n");
+        server->connection(0).wait_for("\r\n\r\n");
+    }
+
+    operators_platform::dialect dialect;
+    std::unique_ptr<test::raw_listener> server;
+    std::unique_ptr<gateway::relay> relay;
+    std::unique_ptr<raw_socket> caller;
+    std::uint16_t port = 0;
+    std::uint64_t attempts = 0;
+    std::vector<routing::event> events;
+};
+
+const std::string signed_head = "HTTP/1.1 200 OK\r\nLovagetack-Request-Id: abc\r\nLovagetack-Response-Signature: s\r\n";
+
+} // namespace
+
+TEST_CASE("request and answer pass unchanged, with the deadline and the server that is meant") {
+    fixture test;
+    test.ask();
+    const auto& request = test.server->connection(0).received();
+    REQUIRE(request.starts_with("GET /look/1?x=2 HTTP/1.1\r\n"));
+    REQUIRE(request.find("Lovagetack-Deadline-Ms: 700\r\n") != std::string::npos);
+    REQUIRE(request.find("Lovagetack-Expected-Instance: i-1\r\n") != std::string::npos);
+    REQUIRE(request.find("forged") == std::string::npos);
+    test.server->connection(0).send(signed_head + "Lovagetack-Server-Load: 1,2,3,150\r\nContent-Length: 3\r\n\r\nabc");
+    test.caller->wait_for("\r\n\r\nabc");
+    REQUIRE(test.caller->received().find("Lovagetack-Response-Signature: s") != std::string::npos);
+    REQUIRE(test.outcome() == attempt_outcome::delivered);
+    REQUIRE(test.ended()->load->waiting == 2);
+    REQUIRE(test.ended()->load->slowness == 150);
+}
+
+TEST_CASE("an unframed answer is whole when the connection ends, and not when it is reset") {
+    fixture test;
+    test.ask();
+    test.server->connection(0).send(signed_head + "\r\nhalf");
+    test::settle();
+    SECTION("it ends") {
+        test.server->connection(0).close();
+        test.caller->wait_for("half");
+        REQUIRE(test.outcome() == attempt_outcome::delivered);
+    }
+    SECTION("it is reset") {
+        test.server->connection(0).reset();
+        REQUIRE(test.outcome() == attempt_outcome::connection_lost);
+        REQUIRE(test.caller->received().empty());
+    }
+}
+
+TEST_CASE("an answer to an earlier request is skipped") {
+    fixture test;
+    test.ask();
+    test.server->connection(0).send("HTTP/1.1 200 OK\r\nLovagetack-Request-Id: earlier\r\n"
+                                    "Lovagetack-Response-Signature: x\r\nContent-Length: 5\r\n\r\nwrong");
+    test.server->connection(0).send(signed_head + "Content-Length: 5\r\n\r\nright");
+    test.caller->wait_for("right");
+    REQUIRE(test.caller->received().find("wrong") == std::string::npos);
+    REQUIRE(test.outcome() == attempt_outcome::delivered);
+}
+
+TEST_CASE("an answer that is not the server's signed one is not passed on") {
+    fixture test;
+    test.ask();
+    SECTION("no signature") {
+        test.server->connection(0).send("HTTP/1.1 200 OK\r\nLovagetack-Request-Id: abc\r\nContent-Length: 1\r\n\r\nx");
+        REQUIRE(test.outcome() == attempt_outcome::invalid_answer);
+    }
+    SECTION("an encoding that was not asked for") {
+        test.server->connection(0).send(signed_head + "Content-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx");
+        REQUIRE(test.outcome() == attempt_outcome::invalid_answer);
+    }
+    SECTION("not HTTP") {
+        test.server->connection(0).send("garbage garbage\r\n\r\n");
+        REQUIRE(test.outcome() == attempt_outcome::invalid_answer);
+    }
+    SECTION("short of its length") {
+        test.server->connection(0).send(signed_head + "Content-Length: 10\r\n\r\nhalf");
+        test.server->connection(0).close();
+        REQUIRE(test.outcome() == attempt_outcome::connection_lost);
+    }
+    REQUIRE(test.caller->received().empty());
+}
+
+TEST_CASE("a long answer that breaks off resets the caller's connection") {
+    fixture test;
+    test.ask();
+    test.server->connection(0).send(signed_head + "Content-Length: 90000\r\n\r\n" + std::string(50000, 'x'));
+    test.caller->wait_for("xxxx");
+    test.server->connection(0).close();
+    REQUIRE(test.outcome() == attempt_outcome::cut_short);
+    test.caller->wait_for_close();
+}
+
+TEST_CASE("an answer of the instance does not go into one that has begun") {
+    fixture test;
+    test.ask();
+    test.server->connection(0).send(signed_head + "Content-Length: 90000\r\n\r\n" + std::string(50000, 'x'));
+    test.caller->wait_for("xxxx");
+    test.relay->execute(routing::answer_caller{1, 504, base::result_code::request_deadline_passed, {}});
+    test.caller->wait_for_close();
+    REQUIRE(test.caller->received().find("504") == std::string::npos);
+}
+
+TEST_CASE("a refusal tells when to come back") {
+    fixture test;
+    test.ask();
+    test.relay->execute(routing::cancel_attempt{1, model::attempt_id(1)});
+    test.relay->execute(
+        routing::answer_caller{1, 503, base::result_code::request_queue_full, std::chrono::milliseconds(250)});
+    test.caller->wait_for("request_queue_full");
+    REQUIRE(test.caller->received().find("HTTP/1.1 503 ") == 0);
+    REQUIRE(test.caller->received().find("Retry-After: 0.250\r\n") != std::string::npos);
+    REQUIRE(test.caller->received().find("Lovagetack-Request-Id: abc\r\n") != std::string::npos);
+    REQUIRE(test.caller->received().find("Signature") == std::string::npos);
+}
+
+TEST_CASE("a caller who leaves is reported, and the server's connection is dropped") {
+    fixture test;
+    test.ask();
+    test.caller->reset();
+    test.server->connection(0).wait_for_close();
+    REQUIRE(std::holds_alternative<routing::caller_left>(test.events.back()));
+}
+
+TEST_CASE("messages about load survive their encoding") {
+    routing::instance_load load;
+    load.instance = model::instance_id("one");
+    load.incarnation = 77;
+    load.sequence = 5;
+    load.is_keeper = true;
+    load.servers = {
+        {model::backend_server_id("i-1"), 3, 2, routing::load_told{1, 2, 3, 150}, std::chrono::milliseconds(9)}};
+    load.keys = {{model::service_id("s"), {1, 65535}}};
+    const auto decoded = load_exchange::decode(QByteArray::fromStdString(load_exchange::encode(load)));
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().instance == load.instance);
+    REQUIRE(decoded.value().is_keeper);
+    REQUIRE(decoded.value().servers.front().load->slowness == 150);
+    REQUIRE(decoded.value().servers.front().load_age == std::chrono::milliseconds(9));
+    REQUIRE(decoded.value().keys.front().keys.back() == 65535);
+    REQUIRE_FALSE(load_exchange::decode("not a message"));
+}
+
+} // namespace lovagetack::gateway
