--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -49,7 +49,9 @@
     void execute(const routing::cancel_attempt& effect) { relay_.execute(effect); }
     void execute(const routing::deliver_answer& effect) { relay_.execute(effect); }
     void execute(const routing::answer_caller& effect) { relay_.execute(effect); }
-    void execute(const routing::send_load& effect) { load_exchange_.send(effect.load, state_.instances); }
+    void execute(const routing::send_load& effect) {
+        load_exchange_.send(effect, state_.self.data_centre, state_.instances);
+    }
     void execute(const routing::grant_range& effect) { grants_->execute(effect); }
     void execute(const routing::release_range& effect) { grants_->execute(effect); }
     void execute(const routing::read_lease& effect) { store_->execute(effect); }
--- a/source/gateway/load_exchange.cpp
+++ b/source/gateway/load_exchange.cpp
@@ -22,11 +22,12 @@
     return base::success();
 }
 
-void load_exchange::send(const routing::instance_load& load,
+void load_exchange::send(const routing::send_load& effect, const model::data_centre_id& data_centre,
                          const std::map<model::instance_id, routing::instance_record>& instances) {
-    const auto bytes = encode(load);
+    const auto bytes = encode(effect.load);
     for (const auto& [instance, record] : instances) {
-        if (instance == load.instance || record.address.port == 0) {
+        const bool elsewhere = effect.only_data_centre && record.data_centre != data_centre;
+        if (instance == effect.load.instance || record.address.port == 0 || elsewhere) {
             continue;
         }
         socket_.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()),
--- a/source/gateway/load_exchange.hpp
+++ b/source/gateway/load_exchange.hpp
@@ -9,7 +9,7 @@
 #include "gateway/ports.hpp"
 #include "model/address.hpp"
 #include "routing/assignment.hpp"
-#include "routing/event.hpp"
+#include "routing/effect.hpp"
 
 namespace lovagetack::gateway {
 
@@ -20,7 +20,8 @@
 
     /// Fails with address_in_use.
     base::result<void> listen(const model::address& address);
-    void send(const routing::instance_load& load,
+    /// `data_centre` is the sender's.
+    void send(const routing::send_load& effect, const model::data_centre_id& data_centre,
               const std::map<model::instance_id, routing::instance_record>& instances);
 
     [[nodiscard]] static std::string encode(const routing::instance_load& load);
--- a/source/routing/effect.hpp
+++ b/source/routing/effect.hpp
@@ -73,6 +73,8 @@
 /// Tells the other instances the load of this one.
 struct send_load {
     instance_load load;
+    /// Only those of the same data centre.
+    bool only_data_centre = false;
 };
 
 struct read_lease {};
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -10,6 +10,11 @@
 namespace lovagetack::routing {
 namespace {
 
+/// Every change of an assignment is read by all instances: the more there are, the rarer it should be.
+std::int64_t size_factor(const state& state) {
+    return static_cast<std::int64_t>(1 + state.instances.size() / (small_deployment + 1));
+}
+
 std::chrono::microseconds longest_hold() {
     const auto hold = std::chrono::duration_cast<std::chrono::microseconds>(hold_time);
     return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(hold.count()) * slow_clock)) +
@@ -328,7 +333,7 @@
     keeper.next_plan = step.now + plan_period;
     const bool balancing = step.now >= keeper.next_balance;
     if (balancing) {
-        keeper.next_balance = step.now + balance_period;
+        keeper.next_balance = step.now + balance_period * size_factor(step.state);
     }
     for (const auto& [name, settings] : step.state.configuration.services) {
         if (settings.divided_by_key) {
@@ -615,7 +620,7 @@
     }
     const bool others = std::any_of(keeper.moves.begin(), keeper.moves.end(),
                                     [](const auto& entry) { return entry.second.grant_under_way; });
-    return !others || step.now - keeper.changed_at >= write_gathering;
+    return !others || step.now - keeper.changed_at >= write_gathering * size_factor(step.state);
 }
 
 void keep(step& step) {
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -21,9 +21,12 @@
 /// Without messages of other instances, an instance uses at most this many places at a server.
 inline constexpr std::int32_t places_alone = 3;
 
-/// Least time between two messages of an instance about its load, for each instance that gets them: the more there are,
-/// the rarer, so that the work of receiving them stays the same.
-inline constexpr std::chrono::microseconds load_period_per_peer = 1500us;
+/// Up to this many instances all tell each other their load; above it, only those of one data centre do, which mostly
+/// use the backend servers of their own one.
+inline constexpr std::size_t small_deployment = 16;
+/// Least time between two messages of an instance, for the square of the number of instances that get them, so that the
+/// work of receiving grows no faster than the deployment.
+inline constexpr std::chrono::microseconds load_period_per_square = 250us;
 /// Messages are sent at least this often, so that silence can be noticed.
 inline constexpr std::chrono::microseconds idle_load_period = 250ms;
 /// What an instance told holds no longer than this.
@@ -47,6 +50,8 @@
 inline constexpr std::chrono::microseconds report_age = 1000ms;
 /// Transit to another data centre, as a penalty in the choice of a server: traffic between data centres is paid for.
 inline constexpr std::chrono::microseconds remote_penalty = 15ms;
+/// The same in a large deployment, where nothing is known of the load that others cause there.
+inline constexpr std::chrono::microseconds unknown_load_penalty = 60ms;
 
 /// Retries per request that the instance allows itself; all instances together have to stay below the bound of the
 /// deployment, which also grants a constant that is left to the first retries.
@@ -120,6 +125,8 @@
 /// Changes of an assignment wait this long for others to be written with them.
 inline constexpr std::chrono::microseconds write_gathering = 40ms;
 inline constexpr std::size_t moves_per_plan = 6;
+/// In a large deployment one plan moves a range for each so many owners.
+inline constexpr std::size_t owners_per_move = 4;
 /// A keeper that has not run for this long asks the store whether it still is one before it acts.
 inline constexpr std::chrono::microseconds longest_pause_of_keeper = 400ms;
 /// Accepted fencing tokens that are remembered, the lowest forgotten first.
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -93,16 +93,26 @@
     }
 }
 
+std::size_t load_receivers(const state& state) {
+    if (state.instances.size() <= small_deployment) {
+        return state.instances.size();
+    }
+    return static_cast<std::size_t>(
+        std::count_if(state.instances.begin(), state.instances.end(),
+                      [&state](const auto& entry) { return entry.second.data_centre == state.self.data_centre; }));
+}
+
 void tell_load(step& step) {
     auto& state = step.state;
-    const auto peers = static_cast<std::int64_t>(std::max<std::size_t>(1, state.instances.size()));
+    const auto peers = static_cast<std::int64_t>(load_receivers(state));
     const auto passed = step.now - state.load_sent_at;
-    if (passed < load_period_per_peer * peers || (!state.load_changed && passed < idle_load_period)) {
+    if (passed < load_period_per_square * peers * peers || (!state.load_changed && passed < idle_load_period)) {
         return;
     }
     send_load message;
     message.load.instance = state.self.instance;
     message.load.incarnation = state.self.incarnation;
+    message.only_data_centre = state.instances.size() > small_deployment;
     message.load.sequence = ++state.load_sequence;
     message.load.is_keeper = state.keeper.phase == keeper_phase::holding;
     for (auto& [id, server] : state.servers) {
--- a/source/routing/peers.hpp
+++ b/source/routing/peers.hpp
@@ -9,6 +9,9 @@
 void learn_load(step& step, const instance_load& event);
 void forget_silent_peers(step& step);
 
+/// Instances that get the messages of this one, itself included.
+[[nodiscard]] std::size_t load_receivers(const state& state);
+
 /// Sends the load of this instance when it has changed, or when the last message is old.
 void tell_load(step& step);
 
--- a/source/routing/plan.cpp
+++ b/source/routing/plan.cpp
@@ -164,7 +164,8 @@
     }
     loads loads(assignment, inputs);
     bool changed = false;
-    for (std::size_t moves = 0; moves < moves_per_plan; ++moves) {
+    const auto most_moves = std::max(moves_per_plan, inputs.candidates.size() / owners_per_move);
+    for (std::size_t moves = 0; moves < most_moves; ++moves) {
         const auto& most = loads.most();
         const auto& least = loads.least();
         // A server without any keys joins even when nothing is overloaded.
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -164,7 +164,7 @@
         }
         auto time = expected_time(server, step.now);
         if (server.registration.data_centre != step.state.self.data_centre) {
-            time += remote_penalty;
+            time += step.state.instances.size() > small_deployment ? unknown_load_penalty : remote_penalty;
         }
         const double jitter = 0.9 + static_cast<double>(step.state.random() % 1000) / 5000.0;
         const double score = static_cast<double>(time.count()) * jitter / (1.0 - std::min(0.9, server.failing));
