--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -7,6 +7,7 @@
 #include "dialect.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/relay.hpp"
+#include "grants.hpp"
 #include "http/sockets.hpp"
 
 namespace lovagetack::gateway {
@@ -183,6 +184,26 @@
     REQUIRE(std::holds_alternative<routing::caller_left>(test.events.back()));
 }
 
+TEST_CASE("a grant names the server that is meant, and another one at its address refuses it") {
+    test::ensure_application();
+    test::raw_listener server;
+    std::vector<routing::event> events;
+    operators_platform::grants grants([&events](const routing::event& event) { events.push_back(event); });
+    grants.execute(routing::grant_range{model::service_id("s"),
+                                        model::backend_server_id("i-7"),
+                                        {"127.0.0.1", server.port()},
+                                        0,
+                                        9,
+                                        5,
+                                        std::chrono::milliseconds(2400),
+                                        ""});
+    server.connection(0).wait_for("hold_ms");
+    REQUIRE(server.connection(0).received().find("Lovagetack-Expected-Instance: i-7\r\n") != std::string::npos);
+    server.connection(0).send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+    test::run_until([&events] { return !events.empty(); });
+    REQUIRE(std::get<routing::grant_ended>(events.front()).outcome == routing::grant_outcome::refused);
+}
+
 TEST_CASE("messages about load survive their encoding") {
     routing::instance_load load;
     load.instance = model::instance_id("one");
