http: a request that has arrived is read before its idle connection closes

Cause: a connection that had been idle for its time was closed on what the event loop had seen. Change: socket_stream::has_unread asks the kernel; such a connection stays open. Test: 'an idle connection with an unread request is not closed' fails without the change.

--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -369,7 +369,8 @@
     const auto waited = now - since_;
     switch (phase_) {
     case phase::waiting:
-        if (waited > (finishing_ ? limits_.stop_grace : limits_.idle_time)) {
+        // A request that has arrived meanwhile is read first.
+        if (waited > (finishing_ ? limits_.stop_grace : limits_.idle_time) && !stream_.has_unread()) {
             linger();
         }
         return;
--- a/source/http/socket_stream.cpp
+++ b/source/http/socket_stream.cpp
@@ -135,6 +135,15 @@
     return input_.size() > 0 || socket_->bytesAvailable() > 0;
 }
 
+bool socket_stream::has_unread() const {
+    if (has_received()) {
+        return true;
+    }
+    char byte = 0;
+    const auto descriptor = static_cast<int>(socket_->socketDescriptor());
+    return descriptor >= 0 && ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void socket_stream::write(std::string_view bytes) {
     if (closed_ || bytes.empty()) {
         return;
--- a/source/http/socket_stream.hpp
+++ b/source/http/socket_stream.hpp
@@ -51,6 +51,8 @@
     /// Moves received bytes to input(); false when there are none at present.
     bool fetch();
     [[nodiscard]] bool has_received() const;
+    /// Bytes are waiting to be fetched, or in the kernel, where a busy event loop has not seen them yet.
+    [[nodiscard]] bool has_unread() const;
     /// The connection ended, in whatever way.
     [[nodiscard]] bool is_closed() const { return closed_; }
     /// The connection was ended by the peer in the regular way. A reset counts as such unless watch_end was called.
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -5,6 +5,9 @@
 #include <string>
 #include <vector>
 
+#include <QHostAddress>
+#include <QTcpServer>
+
 #include "http/echo_handler.hpp"
 #include "http/sockets.hpp"
 
@@ -147,6 +150,25 @@
     CHECK(caller.received().empty());
 }
 
+// Guards against an event loop that runs late and closes a connection whose next request it has not seen yet.
+TEST_CASE("an idle connection with an unread request is not closed") {
+    test::ensure_application();
+    QTcpServer listener;
+    REQUIRE(listener.listen(QHostAddress::LocalHost));
+    raw_socket caller(listener.serverPort());
+    test::run_until([&listener] { return listener.hasPendingConnections(); });
+    test::echo_handler handler;
+    const http::server_limits limits;
+    const auto connection = std::make_shared<http::server_connection>(listener.nextPendingConnection(), handler, limits,
+                                                                      [](http::server_connection&) {});
+    test::settle();
+    caller.send("GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+    // The socket has not been read since: the event loop has not run.
+    connection->check_time(http::server_connection::clock::now() + limits.idle_time + limits.idle_time);
+    caller.wait_for("GET /late ");
+    connection->abort();
+}
+
 // Guards against more connections than the instance has memory for, and against a limit that never frees.
 TEST_CASE("a connection above the limit is refused until another one closes") {
     http::server_limits limits;
