tests: a fault soak around real gateway processes

Instances run as processes with stand-ins of the store, backend servers and balancer; faults come from outside them by signals, a loopback proxy and the stand-ins. The witness checks what callers and backend servers see.

--- /dev/null
+++ b/tests/soak/run.cpp
@@ -0,0 +1,607 @@
+#include "soak/run.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+
+#include <QEventLoop>
+#include <QJsonArray>
+#include <QJsonDocument>
+
+#include "http/header_rules.hpp"
+
+namespace lovagetack::soak {
+namespace {
+
+using namespace std::chrono_literals;
+using stand_ins::link_mode;
+
+constexpr std::size_t caller_connections = 64;
+constexpr auto request_deadline = 2000ms;
+constexpr auto tick = 10ms;
+/// The event loop of the test is late beyond this: the order of what it sees is not exact.
+constexpr auto tolerated_lag = 100ms;
+constexpr auto grace = 6s;
+/// After the last fault everything is to work again within this time.
+constexpr auto recovery_time = 10s;
+constexpr auto judged_time = 4s;
+constexpr double least_served = 0.9;
+constexpr auto registration_lapse = 2600ms;
+
+std::string text_of(const model::address& address) {
+    return address.host + ':' + std::to_string(address.port);
+}
+
+template <class Value>
+Value checked(base::result<Value> result) {
+    if (!result) {
+        throw std::runtime_error(result.error().message);
+    }
+    return std::move(result).value();
+}
+
+QJsonObject route(const std::string& name, const std::string& prefix, const char* type, const char* service) {
+    return {{"name", QString::fromStdString(name)},
+            {"host", "soak.example"},
+            {"prefix", QString::fromStdString(prefix)},
+            {"route_type", type},
+            {"timeout_ms", 1800},
+            {"target_latency_ms", 500},
+            {"priority", 1},
+            {"max_attempts", 2},
+            {"service", service}};
+}
+
+QJsonObject service(const char* name, bool keyed) {
+    return {{"name", name},         {"health_path", "/health"}, {"max_conns", 200}, {"cold_per_s", backend::cold_rate},
+            {"cold_period_s", 3.0}, {"sharded", keyed}};
+}
+
+} // namespace
+
+run::run(const options& options)
+    : options_(options), random_(options.seed), store_(options.seed + 1), context_(std::make_unique<QTimer>()) {
+    set_up();
+}
+
+run::~run() {
+    context_.reset();
+    for (const auto& instance : instances_) {
+        if (instance->process && !instance->process->status()) {
+            instance->process->kill();
+        }
+    }
+    calls_.clear();
+    ended_.clear();
+}
+
+void run::set_up() {
+    store_address_ = checked(store_.listen());
+    write_configuration();
+    for (int number = 0; number < 2 * options_.backends; ++number) {
+        const bool keyed = number % 2 == 0;
+        const auto& zone = data_centres_[static_cast<std::size_t>(number / 2) % data_centres_.size()];
+        backend::identity self{(keyed ? "keyed-" : "plain-") + std::to_string(number / 2), keyed ? "keyed" : "plain",
+                               zone, keyed};
+        backends_.push_back(std::make_unique<backend>(self, witness_, random_()));
+        checked(backends_.back()->start());
+    }
+    for (const auto& server : backends_) {
+        server->set_others(backends_);
+        publish(*server);
+    }
+    for (int number = 0; number < options_.instances; ++number) {
+        auto made = std::make_unique<instance>();
+        made->number = number;
+        made->name = "front-" + std::to_string(number);
+        made->store_link = std::make_unique<stand_ins::proxy_link>(made->name, store_address_);
+        const auto link = checked(made->store_link->listen({"127.0.0.1", 0}));
+        made->settings_file = (folder_.path() / (made->name + ".json")).string();
+        made->pool = std::make_unique<http::connection_pool>(model::address{"127.0.0.1", made->callers.number()},
+                                                             caller_connections);
+        made->readiness_pool =
+            std::make_unique<http::connection_pool>(model::address{"127.0.0.1", made->readiness.number()}, 2);
+        write_settings(*made, text_of(link), data_centres_[static_cast<std::size_t>(number) % data_centres_.size()]);
+        start_instance(*made);
+        instances_.push_back(std::move(made));
+    }
+    QObject::connect(&request_timer_, &QTimer::timeout, &request_timer_, [this] { send_requests(); });
+    QObject::connect(&watch_timer_, &QTimer::timeout, &watch_timer_, [this] { watch_processes(); });
+    QObject::connect(&readiness_timer_, &QTimer::timeout, &readiness_timer_, [this] { ask_readiness(); });
+    watch_timer_.start(100ms);
+    readiness_timer_.start(1000ms);
+}
+
+void run::write_settings(const instance& instance, const std::string& store_address, const std::string& zone) const {
+    const auto text = [](const std::string& value) { return QString::fromStdString(value); };
+    const int port = instance.internal.number();
+    const QJsonObject json{
+        {"node", text(instance.name)},
+        {"zone", text(zone)},
+        {"listen",
+         QJsonObject{{"front", text(instance.callers.address())}, {"ready", text(instance.readiness.address())}}},
+        {"internal_ports", QJsonArray{port, port}},
+        {"limits", QJsonObject{{"cpu_share", 0.5}, {"cores", 1}, {"memory_mb", 256}, {"max_fds", 2048}}},
+        {"heartbeat_ms", 870},
+        {"bounds", QJsonObject{{"grace_s", 6}}},
+        {"provider", QJsonObject{{"address", text(store_address)}}}};
+    std::ofstream(instance.settings_file) << QJsonDocument(json).toJson().toStdString();
+}
+
+void run::start_instance(instance& instance) {
+    ++instance.life;
+    instance.paused = false;
+    instance.leaving = false;
+    instance.missed = 2;
+    witness_.note_disturbed(instance.number);
+    instance.process = std::make_unique<harness::process>(
+        instance.name + '-' + std::to_string(instance.life),
+        std::vector<std::string>{options_.program, "gateway", "--settings", instance.settings_file}, folder_.path());
+}
+
+void run::watch_processes() {
+    for (const auto& instance : instances_) {
+        if (!instance->process) {
+            continue;
+        }
+        const auto status = instance->process->status();
+        if (!status) {
+            if (instance->leaving && !instance->paused && clock::now() - instance->leaving_since > grace + 1s) {
+                // As the platform does.
+                instance->process->kill();
+                witness_.violate("ends within the grace period", instance->name);
+                start_instance(*instance);
+            }
+            continue;
+        }
+        witness_.note_exit(instance->number, *status, instance->leaving);
+        instance->process.reset();
+        after(between(200, 1500), [this, target = instance.get()] { start_instance(*target); });
+    }
+    keep_disturbances_known();
+}
+
+/// Faults that last are told again as long as they do.
+void run::keep_disturbances_known() {
+    if (store_disturbed_) {
+        witness_.note_store_disturbed();
+    }
+    for (const auto& instance : instances_) {
+        if (!instance->process || instance->paused || instance->link_disturbed) {
+            witness_.note_disturbed(instance->number);
+        }
+        instance->pool->check_times(http::client_connection::clock::now());
+    }
+    ended_.clear();
+}
+
+void run::ask_readiness() {
+    for (const auto& item : instances_) {
+        auto* const instance = item.get();
+        call(*instance->readiness_pool, "GET /v1/ready HTTP/1.1\r\nHost: " + instance->readiness.address() + "\r\n\r\n",
+             900ms, [instance](const http::call_result& result) {
+                 instance->missed = result.status == 200 ? 0 : instance->missed + 1;
+             });
+    }
+}
+
+void run::write_configuration() {
+    const int next = configuration_ + 1;
+    QJsonArray routes{route("look", "/look/", "safe", "keyed"), route("pay", "/pay/", "unsafe", "plain")};
+    for (int version = 1; version <= next; ++version) {
+        const auto name = "v" + std::to_string(version);
+        routes.append(route(name, "/" + name + "/", "safe", "plain"));
+    }
+    const QJsonObject json{{"version", QString("r%1").arg(next)},
+                           {"routes", routes},
+                           {"services", QJsonArray{service("keyed", true), service("plain", false)}},
+                           {"limits", QJsonObject{{"idle_timeout_ms", 8000}}}};
+    if (store_.put("op", "config", json)) {
+        configuration_ = next;
+        witness_.note_configuration(next);
+    }
+}
+
+void run::publish(backend& server) {
+    when_stored([this, target = &server] {
+        if (!target->is_up() || !store_.put("servers", target->self().id, target->registration())) {
+            return !target->is_up();
+        }
+        if (target->is_leaving()) {
+            target->note_leaving();
+        }
+        return true;
+    });
+}
+
+void run::withdraw(backend& server) {
+    when_stored([this, id = server.self().id] { return store_.remove("servers", id); });
+}
+
+// Callers.
+
+run::instance* run::choose_instance() {
+    std::vector<instance*> ready;
+    std::vector<instance*> connected;
+    for (const auto& instance : instances_) {
+        if (instance->missed < 2) {
+            ready.push_back(instance.get());
+        } else if (instance->pool->connections() > 0) {
+            connected.push_back(instance.get());
+        }
+    }
+    // Callers go on using open connections whatever the balancer says.
+    if (!connected.empty() && draw(10) < 3) {
+        return connected[draw(connected.size())];
+    }
+    return ready.empty() ? nullptr : ready[draw(ready.size())];
+}
+
+void run::send_requests() {
+    const auto now = clock::now();
+    const auto passed = now - std::exchange(ticked_, now);
+    if (passed > tick + tolerated_lag) {
+        witness_.note_lag();
+    }
+    due_requests_ +=
+        options_.rate * std::chrono::duration<double>(std::min<std::chrono::nanoseconds>(passed, 1s)).count();
+    for (; due_requests_ >= 1; due_requests_ -= 1) {
+        if (auto* const instance = choose_instance()) {
+            send_request(*instance);
+        }
+    }
+}
+
+std::string run::request_text(const sent_call& call) {
+    std::string text = (call.idempotent ? "GET " : "POST ") + call.path + " HTTP/1.1\r\n";
+    http::append_field(text, "Host", std::string_view("soak.example"));
+    http::append_field(text, "Lovagetack-Request-Id", std::string_view(call.id));
+    http::append_field(text, "Lovagetack-Deadline-Ms", static_cast<std::uint64_t>(request_deadline.count()));
+    if (call.path.starts_with("/look/")) {
+        // Half of the requests are for a few neighbouring keys.
+        const auto key = draw(2) == 0 ? 30000 + draw(300) : draw(65536);
+        http::append_field(text, "Lovagetack-Shard-Key", static_cast<std::uint64_t>(key));
+    }
+    if (!call.idempotent) {
+        return text + "Content-Length: 4\r\n\r\npay!";
+    }
+    return text + "\r\n";
+}
+
+void run::send_request(instance& instance) {
+    sent_call sent;
+    sent.id = "id-" + std::to_string(++last_request_);
+    sent.instance = instance.number;
+    sent.life = instance.life;
+    sent.sent_at = clock::now();
+    const auto kind = draw(10);
+    sent.idempotent = kind < 7;
+    if (kind < 5) {
+        sent.path = "/look/" + sent.id;
+    } else if (kind < 7) {
+        sent.route_version = 1 + static_cast<int>(draw(static_cast<std::size_t>(configuration_)));
+        sent.path = "/v" + std::to_string(sent.route_version) + '/' + sent.id;
+    } else {
+        sent.path = "/pay/" + sent.id;
+    }
+    ++requests_;
+    witness_.note_call(sent);
+    call(*instance.pool, request_text(sent), request_deadline, [this, sent](const http::call_result& result) {
+        call_outcome outcome;
+        outcome.status = result.status;
+        outcome.sent = result.sent;
+        outcome.is_signed =
+            http::value_of(result.header, "Lovagetack-Response-Signature") == std::string_view("signed-" + sent.id);
+        outcome.whole = result.body == "body of " + sent.id;
+        outcome.timed_out = clock::now() - sent.sent_at >= request_deadline;
+        witness_.note_outcome(sent, outcome);
+    });
+}
+
+void run::call(http::connection_pool& pool, std::string text, std::chrono::milliseconds timeout,
+               http::call::done_function done) {
+    calls_.emplace_back();
+    const auto at = std::prev(calls_.end());
+    *at = std::make_unique<http::call>(pool, std::move(text), timeout,
+                                       [this, at, done = std::move(done)](const http::call_result& result) {
+                                           ended_.splice(ended_.end(), calls_, at);
+                                           done(result);
+                                       });
+    (*at)->begin();
+}
+
+// Faults.
+
+void run::schedule_fault() {
+    const auto mean = static_cast<int>(options_.fault_pause.count());
+    after(between(mean / 4, mean * 7 / 4), [this] {
+        if (injecting_) {
+            inject_fault();
+            schedule_fault();
+        }
+    });
+}
+
+void run::inject_fault() {
+    using fault = void (run::*)();
+    static constexpr fault kinds[] = {&run::disturb_instance, &run::disturb_instance,    &run::disturb_store,
+                                      &run::disturb_link,     &run::disturb_backend,     &run::disturb_backend,
+                                      &run::evacuate,         &run::write_configuration, &run::write_configuration};
+    (this->*kinds[draw(std::size(kinds))])();
+}
+
+void run::disturb_instance() {
+    auto* const target = instances_[draw(instances_.size())].get();
+    if (!target->process || target->process->status()) {
+        return;
+    }
+    switch (draw(5)) {
+    case 0:
+        note_fault("SIGKILL " + target->name);
+        witness_.note_disturbed(target->number);
+        target->process->kill();
+        target->process.reset();
+        after(between(300, 3000), [this, target] { start_instance(*target); });
+        return;
+    case 1:
+    case 2:
+        if (target->paused || target->leaving) {
+            return;
+        }
+        note_fault("SIGTERM " + target->name);
+        target->leaving = true;
+        target->leaving_since = clock::now();
+        witness_.note_termination(target->number);
+        target->process->terminate();
+        return;
+    case 3:
+        note_fault("SIGHUP " + target->name);
+        ::kill(target->process->id(), SIGHUP);
+        return;
+    default:
+        if (target->paused) {
+            return;
+        }
+        note_fault("SIGSTOP " + target->name);
+        target->paused = true;
+        witness_.note_disturbed(target->number);
+        target->process->pause();
+        after(between(200, 4500), [this, target, life = target->life] {
+            if (target->life == life && target->process) {
+                note_fault("SIGCONT " + target->name);
+                target->process->resume();
+                target->paused = false;
+                target->leaving_since = clock::now();
+                witness_.note_disturbed(target->number);
+                witness_.note_resumed();
+            }
+        });
+    }
+}
+
+void run::disturb_store() {
+    if (store_disturbed_) {
+        return;
+    }
+    store_faults faults;
+    switch (draw(5)) {
+    case 0:
+        note_fault("store down");
+        faults.down = true;
+        break;
+    case 1:
+        note_fault("store loses answers");
+        faults.lost_answers = 0.4;
+        break;
+    case 2:
+        note_fault("store writes late");
+        faults.late_writes = 0.4;
+        break;
+    case 3:
+        note_fault("store slow");
+        faults.delay = 250ms;
+        break;
+    default:
+        note_fault("store forgets its history");
+        store_.forget_history();
+        return;
+    }
+    store_disturbed_ = true;
+    witness_.note_store_disturbed();
+    store_.set_faults(faults);
+    after(between(500, 5000), [this] {
+        note_fault("store well");
+        store_.set_faults({});
+        store_disturbed_ = false;
+    });
+}
+
+void run::disturb_link() {
+    static constexpr std::pair<link_mode, const char*> modes[] = {
+        {link_mode::cut, "cut"},
+        {link_mode::refuse, "refused"},
+        {link_mode::delay, "delayed"},
+        {link_mode::drop_to_server, "one-way to the store"},
+        {link_mode::drop_to_client, "one-way from the store"}};
+    auto* const target = instances_[draw(instances_.size())].get();
+    if (target->link_disturbed) {
+        return;
+    }
+    const auto& [mode, name] = modes[draw(std::size(modes))];
+    note_fault("link of " + target->name + " to the store " + name);
+    stand_ins::link_condition condition;
+    condition.mode = mode;
+    condition.delay = 300ms;
+    condition.random.seed(random_());
+    target->link_disturbed = true;
+    witness_.note_disturbed(target->number);
+    target->store_link->set_condition(condition);
+    if (draw(3) == 0) {
+        target->store_link->silence_open();
+    }
+    after(between(500, 6000), [this, target] {
+        note_fault("link of " + target->name + " whole");
+        target->store_link->set_condition({});
+        target->link_disturbed = false;
+        witness_.note_disturbed(target->number);
+    });
+}
+
+void run::disturb_backend() {
+    auto& server = *backends_[draw(backends_.size())];
+    if (!server.is_up() || server.is_leaving()) {
+        return;
+    }
+    static constexpr std::pair<backend_fault, const char*> faults[] = {
+        {backend_fault::slow, "slow"}, {backend_fault::resets, "resets"}, {backend_fault::silent, "silent"},
+        {backend_fault::cuts, "cuts"}, {backend_fault::full, "full"},     {backend_fault::fails, "fails"}};
+    const auto kind = draw(std::size(faults) + 4);
+    if (kind < std::size(faults)) {
+        note_fault(server.self().id + ' ' + faults[kind].second);
+        server.set_fault(faults[kind].first);
+        after(between(500, 3000), [target = &server] { target->set_fault(backend_fault::none); });
+        return;
+    }
+    replace_backend(server);
+}
+
+/// A crash, or an exit with or without a report before; then another life at the same address.
+void run::replace_backend(backend& server) {
+    auto* const target = &server;
+    std::chrono::milliseconds exit = 0ms;
+    switch (draw(4)) {
+    case 0:
+    case 1:
+        note_fault(server.self().id + " crashes");
+        after(registration_lapse, [this, target] {
+            if (!target->is_up()) {
+                withdraw(*target);
+            }
+        });
+        break;
+    case 2:
+        note_fault(server.self().id + " leaves");
+        server.begin_leaving();
+        publish(server);
+        exit = between(4000, 6000);
+        break;
+    default:
+        note_fault(server.self().id + " leaves without a report");
+        server.begin_leaving();
+        when_stored([this, target] {
+            if (!store_.remove("servers", target->self().id)) {
+                return false;
+            }
+            target->note_leaving();
+            return true;
+        });
+        exit = between(4000, 6000);
+        break;
+    }
+    const bool reported = exit > 0ms;
+    after(exit, [this, target, reported] {
+        target->crash();
+        if (reported) {
+            withdraw(*target);
+        }
+        after(between(200, 4000), [this, target] {
+            note_fault(target->self().id + " starts");
+            checked(target->start());
+            target->make_cold(3000ms);
+            publish(*target);
+            // The registration changes once more when the cold time is over.
+            after(3000ms, [this, target] { publish(*target); });
+        });
+    });
+}
+
+void run::evacuate() {
+    const auto zone = data_centres_[draw(data_centres_.size())];
+    if (!store_.put("op", "evacuate/" + zone, {{"since", 1}})) {
+        return;
+    }
+    note_fault("evacuation of " + zone);
+    for (const auto& server : backends_) {
+        if (server->self().data_centre == zone) {
+            server->note_evacuated(true);
+        }
+    }
+    after(between(6000, 8000), [this, zone] {
+        for (const auto& server : backends_) {
+            if (server->self().data_centre == zone) {
+                server->note_evacuated(false);
+            }
+        }
+        when_stored([this, zone] { return store_.remove("op", "evacuate/" + zone); });
+        note_fault("evacuation of " + zone + " taken back");
+    });
+}
+
+void run::heal() {
+    injecting_ = false;
+    note_fault("no further faults");
+}
+
+// Time.
+
+std::chrono::milliseconds run::between(int least, int most) {
+    return std::chrono::milliseconds(least + static_cast<int>(draw(static_cast<std::size_t>(most - least + 1))));
+}
+
+void run::after(std::chrono::milliseconds delay, std::function<void()> function) {
+    QTimer::singleShot(delay, context_.get(), std::move(function));
+}
+
+void run::when_stored(const std::function<bool()>& write) {
+    if (!write()) {
+        after(100ms, [this, write] { when_stored(write); });
+    }
+}
+
+void run::wait(std::chrono::milliseconds time) {
+    QEventLoop loop;
+    QTimer::singleShot(time, &loop, &QEventLoop::quit);
+    loop.exec();
+}
+
+void run::note_fault(const std::string& text) {
+    const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - begun_);
+    faults_.push_back(std::to_string(at.count()) + " ms: " + text);
+}
+
+std::vector<std::string> run::play() {
+    // Until keys are assigned and granted.
+    wait(5s);
+    ticked_ = clock::now();
+    request_timer_.start(tick);
+    wait(1s);
+    injecting_ = true;
+    schedule_fault();
+    wait(options_.duration);
+    heal();
+    // The longest fault lasts 8 s.
+    wait(8s + recovery_time);
+    (void)witness_.take_share();
+    wait(judged_time);
+    final_share_ = witness_.take_share();
+    request_timer_.stop();
+    if (final_share_.served < least_served * final_share_.asked || final_share_.asked == 0) {
+        witness_.violate("recovers", std::to_string(final_share_.served) + " of " + std::to_string(final_share_.asked) +
+                                         " requests served after the last fault");
+    }
+    wait(request_deadline);
+    return witness_.violations();
+}
+
+std::string run::summary() const {
+    std::string text = std::to_string(requests_) + " requests, " + std::to_string(faults_.size()) + " events, served " +
+                       std::to_string(final_share_.served) + " of " + std::to_string(final_share_.asked) +
+                       " at the end, " + std::to_string(witness_.excused()) + " excused; answers";
+    for (const auto& [status, count] : witness_.statuses()) {
+        text += ' ' + std::to_string(status) + ':' + std::to_string(count);
+    }
+    return text;
+}
+
+} // namespace lovagetack::soak
--- /dev/null
+++ b/tests/soak/store.cpp
@@ -0,0 +1,250 @@
+#include "soak/store.hpp"
+
+#include <chrono>
+#include <cstdlib>
+#include <set>
+
+#include <QJsonDocument>
+#include <QUrl>
+
+namespace lovagetack::soak {
+namespace {
+
+using namespace std::chrono_literals;
+using stand_ins::exchange_pointer;
+
+std::string decoded(std::string_view text) {
+    return QUrl::fromPercentEncoding(QByteArray(text.data(), static_cast<int>(text.size()))).toStdString();
+}
+
+std::uint64_t number(std::string_view text) {
+    return std::strtoull(std::string(text).c_str(), nullptr, 10);
+}
+
+std::string text_of(const QJsonObject& object, const char* name) {
+    return object.value(QLatin1String(name)).toString().toStdString();
+}
+
+QByteArray compact(const QJsonObject& object) {
+    return QJsonDocument(object).toJson(QJsonDocument::Compact);
+}
+
+std::int64_t steady_milliseconds() {
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+} // namespace
+
+store::store(std::uint64_t seed)
+    : server_([this](const exchange_pointer& exchange) { handle(exchange); }), random_(seed) {}
+
+base::result<model::address> store::listen() {
+    return server_.listen({"127.0.0.1", 0});
+}
+
+void store::forget_history() {
+    forgotten_ = version_;
+    history_.clear();
+}
+
+bool store::put(const std::string& table, const std::string& key, const QJsonObject& value) {
+    if (faults_.down) {
+        return false;
+    }
+    ++version_;
+    rows_[{table, key}] = {compact(value).toBase64().toStdString(), version_};
+    record({table, key}, false);
+    wake_feeds();
+    return true;
+}
+
+bool store::remove(const std::string& table, const std::string& key) {
+    if (faults_.down) {
+        return false;
+    }
+    if (rows_.erase({table, key}) > 0) {
+        ++version_;
+        record({table, key}, true);
+        wake_feeds();
+    }
+    return true;
+}
+
+void store::handle(const exchange_pointer& exchange) {
+    if (faults_.down) {
+        answer_later(exchange, 503, {});
+        return;
+    }
+    const auto path = exchange->request().path();
+    if (path == "/v1/rows-get") {
+        read(exchange);
+        return;
+    }
+    if (path == "/v1/rows-feed") {
+        feed(exchange);
+        return;
+    }
+    if (path == "/v1/rows-tx") {
+        write(exchange);
+        return;
+    }
+    answer_later(exchange, 404, {});
+}
+
+void store::answer_later(const exchange_pointer& exchange, int status, const QJsonObject& body) {
+    const auto text = compact(body).toStdString();
+    QTimer::singleShot(faults_.delay, &context_,
+                       [exchange, status, text] { exchange->answer(stand_ins::json_response(status, text)); });
+}
+
+QJsonObject store::envelope() const {
+    return {{"ver", static_cast<qint64>(version_)}, {"now_ms", static_cast<qint64>(steady_milliseconds())}};
+}
+
+QJsonObject store::row_object(const row_id& id) const {
+    QJsonObject object{
+        {"table", QString::fromStdString(id.first)}, {"part", QString()}, {"key", QString::fromStdString(id.second)}};
+    if (const auto found = rows_.find(id); found != rows_.end()) {
+        object.insert("value", QString::fromStdString(found->second.value));
+        object.insert("ver", static_cast<qint64>(found->second.version));
+    }
+    return object;
+}
+
+void store::read(const exchange_pointer& exchange) {
+    const auto table = decoded(exchange->request().query("table"));
+    const auto from = decoded(exchange->request().query("from"));
+    const auto limit = std::max<std::uint64_t>(1, number(exchange->request().query("limit")));
+    QJsonArray rows;
+    auto at = rows_.lower_bound({table, from});
+    for (; at != rows_.end() && at->first.first == table && static_cast<std::uint64_t>(rows.size()) < limit; ++at) {
+        rows.append(row_object(at->first));
+    }
+    auto body = envelope();
+    body.insert("rows", rows);
+    body.insert("has_more", at != rows_.end() && at->first.first == table);
+    answer_later(exchange, 200, body);
+}
+
+QJsonArray store::changes_after(const std::string& table, std::uint64_t after) const {
+    // Of several changes of a row, only the newest counts.
+    std::map<std::uint64_t, row_id> newest;
+    std::set<row_id> seen;
+    for (auto at = history_.rbegin(); at != history_.rend() && at->version > after; ++at) {
+        if (at->id.first == table && seen.insert(at->id).second) {
+            newest[at->version] = at->id;
+        }
+    }
+    QJsonArray rows;
+    for (const auto& [version, id] : newest) {
+        auto object = row_object(id);
+        if (!rows_.contains(id)) {
+            object.insert("deleted", true);
+            object.insert("ver", static_cast<qint64>(version));
+        }
+        rows.append(object);
+    }
+    return rows;
+}
+
+void store::feed(const exchange_pointer& exchange) {
+    const auto table = decoded(exchange->request().query("table"));
+    const auto after = number(exchange->request().query("after"));
+    if (after < forgotten_) {
+        answer_later(exchange, 410, {});
+        return;
+    }
+    const std::chrono::milliseconds wait(number(exchange->request().query("wait_ms")));
+    feeds_.push_back({exchange, table, after, ++last_feed_});
+    const auto own = last_feed_;
+    wake_feeds();
+    QTimer::singleShot(wait, &context_, [this, own] {
+        for (auto at = feeds_.begin(); at != feeds_.end(); ++at) {
+            if (at->number == own) {
+                auto body = envelope();
+                body.insert("rows", QJsonArray());
+                answer_later(at->exchange, 200, body);
+                feeds_.erase(at);
+                return;
+            }
+        }
+    });
+}
+
+void store::wake_feeds() {
+    for (auto at = feeds_.begin(); at != feeds_.end();) {
+        const auto rows = changes_after(at->table, at->after);
+        if (rows.isEmpty()) {
+            ++at;
+            continue;
+        }
+        auto body = envelope();
+        body.insert("rows", rows);
+        answer_later(at->exchange, 200, body);
+        at = feeds_.erase(at);
+    }
+}
+
+void store::record(const row_id& id, bool deleted) {
+    history_.push_back({version_, id, deleted});
+}
+
+QJsonArray store::conflicts(const QJsonObject& body) const {
+    QJsonArray found;
+    for (const auto& item : body.value("expect").toArray()) {
+        const auto expected = item.toObject();
+        const row_id id{text_of(expected, "table"), text_of(expected, "key")};
+        const auto row = rows_.find(id);
+        const auto version = row == rows_.end() ? 0 : row->second.version;
+        if (version != static_cast<std::uint64_t>(expected.value("ver").toDouble())) {
+            found.append(row_object(id));
+        }
+    }
+    return found;
+}
+
+void store::apply(const QJsonObject& body) {
+    ++version_;
+    for (const auto& item : body.value("puts").toArray()) {
+        const auto put = item.toObject();
+        const row_id id{text_of(put, "table"), text_of(put, "key")};
+        rows_[id] = {text_of(put, "value"), version_};
+        record(id, false);
+    }
+    for (const auto& item : body.value("remove").toArray()) {
+        const auto removed = item.toObject();
+        const row_id id{text_of(removed, "table"), text_of(removed, "key")};
+        rows_.erase(id);
+        record(id, true);
+    }
+    wake_feeds();
+}
+
+void store::write(const exchange_pointer& exchange) {
+    const auto body = QJsonDocument::fromJson(QByteArray::fromStdString(exchange->request().body)).object();
+    if (chance() < faults_.late_writes) {
+        const std::chrono::milliseconds delay(1000 + random_() % 4000);
+        QTimer::singleShot(delay, &context_, [this, body] {
+            if (!faults_.down && conflicts(body).isEmpty()) {
+                apply(body);
+            }
+        });
+        QTimer::singleShot(faults_.delay, &context_, [exchange] { exchange->close(); });
+        return;
+    }
+    if (const auto rows = conflicts(body); !rows.isEmpty()) {
+        auto answer = envelope();
+        answer.insert("rows", rows);
+        answer_later(exchange, 412, answer);
+        return;
+    }
+    apply(body);
+    if (chance() < faults_.lost_answers) {
+        QTimer::singleShot(faults_.delay, &context_, [exchange] { exchange->close(); });
+        return;
+    }
+    answer_later(exchange, 200, envelope());
+}
+
+} // namespace lovagetack::soak
--- /dev/null
+++ b/tests/soak/store.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+
+#include <QJsonArray>
+#include <QJsonObject>
+#include <QTimer>
+
+#include "model/address.hpp"
+#include "stand_ins/http_server.hpp"
+
+namespace lovagetack::soak {
+
+/// What goes wrong at the store now.
+struct store_faults {
+    /// All calls are refused with 503.
+    bool down = false;
+    /// Share of the writes whose answer is lost after they were done.
+    double lost_answers = 0;
+    /// Share of the writes that are done only seconds later, without an answer.
+    double late_writes = 0;
+    std::chrono::milliseconds delay{4};
+};
+
+/// Stand-in for the platform's store: rows with versions, conditional transactions and feeds.
+class store {
+public:
+    explicit store(std::uint64_t seed);
+
+    [[nodiscard]] base::result<model::address> listen();
+    void set_faults(const store_faults& faults) { faults_ = faults; }
+    /// Feeds that continue from before now are told that their history is gone.
+    void forget_history();
+
+    // The operators and the backend servers write directly; their writes always succeed while the store is not down.
+    bool put(const std::string& table, const std::string& key, const QJsonObject& value);
+    bool remove(const std::string& table, const std::string& key);
+
+private:
+    using row_id = std::pair<std::string, std::string>;
+
+    struct row {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+
+    struct change {
+        std::uint64_t version = 0;
+        row_id id;
+        bool deleted = false;
+    };
+
+    struct waiting_feed {
+        stand_ins::exchange_pointer exchange;
+        std::string table;
+        std::uint64_t after = 0;
+        std::uint64_t number = 0;
+    };
+
+    void handle(const stand_ins::exchange_pointer& exchange);
+    void answer_later(const stand_ins::exchange_pointer& exchange, int status, const QJsonObject& body);
+    void read(const stand_ins::exchange_pointer& exchange);
+    void feed(const stand_ins::exchange_pointer& exchange);
+    void write(const stand_ins::exchange_pointer& exchange);
+    [[nodiscard]] QJsonArray conflicts(const QJsonObject& body) const;
+    void apply(const QJsonObject& body);
+    void record(const row_id& id, bool deleted);
+    void wake_feeds();
+    [[nodiscard]] QJsonArray changes_after(const std::string& table, std::uint64_t after) const;
+    [[nodiscard]] QJsonObject row_object(const row_id& id) const;
+    [[nodiscard]] QJsonObject envelope() const;
+    double chance() { return static_cast<double>(random_() % 10000) / 10000.0; }
+
+    stand_ins::http_server server_;
+    store_faults faults_;
+    std::mt19937_64 random_;
+    std::map<row_id, row> rows_;
+    std::deque<change> history_;
+    std::uint64_t version_ = 0;
+    /// Changes up to this version are forgotten.
+    std::uint64_t forgotten_ = 0;
+    std::list<waiting_feed> feeds_;
+    std::uint64_t last_feed_ = 0;
+    QTimer context_;
+};
+
+} // namespace lovagetack::soak
