--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -59,6 +59,7 @@
     void execute(const routing::release_range& effect) { grants_->execute(effect); }
     void execute(const routing::read_lease& effect) { store_->execute(effect); }
     void execute(const routing::read_assignments& effect) { store_->execute(effect); }
+    void execute(const routing::refresh_assignments& effect) { store_->execute(effect); }
     void execute(const routing::write_rows& effect) { store_->execute(effect); }
     void tick();
     void continue_shutdown();
--- a/source/gateway/ports.hpp
+++ b/source/gateway/ports.hpp
@@ -36,6 +36,7 @@
     virtual void start(const routing::instance_record& own_record) = 0;
     virtual void execute(const routing::read_lease& effect) = 0;
     virtual void execute(const routing::read_assignments& effect) = 0;
+    virtual void execute(const routing::refresh_assignments& effect) = 0;
     virtual void execute(const routing::write_rows& effect) = 0;
     /// The keeper needs changes of the registry at once; others in a large deployment can wait for them.
     virtual void follow_closely(bool closely) = 0;
--- a/source/routing/effect.hpp
+++ b/source/routing/effect.hpp
@@ -85,6 +85,9 @@
 
 struct read_assignments {};
 
+/// Reports the assignments as they are now, without an answer of its own: a change that was passed on has been missed.
+struct refresh_assignments {};
+
 /// Writes the lease and the given assignments in one transaction, if the lease still has the version.
 struct write_rows {
     std::uint64_t expected_lease_version = 0;
@@ -108,9 +111,9 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 
-using effect =
-    std::variant<send_request, cancel_attempt, deliver_answer, answer_caller, grant_range, release_range, send_load,
-                 send_change, read_lease, read_assignments, write_rows, request_delivered, log_line>;
+using effect = std::variant<send_request, cancel_attempt, deliver_answer, answer_caller, grant_range, release_range,
+                            send_load, send_change, read_lease, read_assignments, refresh_assignments, write_rows,
+                            request_delivered, log_line>;
 using effects = std::vector<effect>;
 
 } // namespace lovagetack::routing
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -494,8 +494,14 @@
 
 void change_assignment(step& step, const assignment_changed& event) {
     const auto found = step.state.services.find(event.service);
-    if (found == step.state.services.end() || found->second.assignment_version != event.base_version) {
-        // The row is read soon.
+    const auto known = found == step.state.services.end() ? 0 : found->second.assignment_version;
+    if (known != event.base_version) {
+        // Only a keeper's own reads tell it what it may act on.
+        const bool reads = step.state.keeper.phase != keeper_phase::idle;
+        if (known < event.version && !reads && step.now - step.state.refreshed_at >= refresh_pause) {
+            step.state.refreshed_at = step.now;
+            step.add(refresh_assignments{});
+        }
         return;
     }
     auto ranges = replace_ranges(found->second.assignment.ranges, event.ranges);
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -37,6 +37,8 @@
 /// Period of the messages to a keeper in another data centre of a large deployment: it plans a few times a second at
 /// most, and each message costs traffic between data centres.
 inline constexpr std::chrono::microseconds report_period = 400ms;
+/// Least time between two reads of the assignments for missed changes.
+inline constexpr std::chrono::microseconds refresh_pause = 300ms;
 /// Ranges in one message about a change; a larger change is read from the store.
 inline constexpr std::size_t ranges_per_message = 120;
 
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -248,6 +248,8 @@
     model::instance_id known_keeper;
     base::boot_time load_sent_at;
     base::boot_time reported_at;
+    /// When the assignments were last read because of a missed change.
+    base::boot_time refreshed_at;
     std::uint64_t load_sequence = 0;
     bool load_changed = false;
     std::map<std::string, std::map<model::service_id, double>> split_credit;
--- a/tests/routing/deployment.cpp
+++ b/tests/routing/deployment.cpp
@@ -432,6 +432,16 @@
     });
 }
 
+void deployment::execute(int instance, const refresh_assignments& /*effect*/) {
+    const auto& target = instances_[index(instance)];
+    if (store_down_ || !target.reaches_store || assignment_version_ == 0) {
+        return;
+    }
+    at(store_delay / 2, [this, instance, life = target.life] {
+        deliver(instance, life, store_delay / 2, assignment_learned{keyed_service, assignment_version_, assignment_});
+    });
+}
+
 write_outcome deployment::commit(const write_rows& effect, std::uint64_t& version) {
     if (effect.expected_lease_version != lease_version_) {
         return write_outcome::conflict;
--- a/tests/routing/deployment.hpp
+++ b/tests/routing/deployment.hpp
@@ -104,6 +104,7 @@
     void execute(int instance, const release_range& effect);
     void execute(int instance, const read_lease& effect);
     void execute(int instance, const read_assignments& effect);
+    void execute(int instance, const refresh_assignments& effect);
     void execute(int instance, const write_rows& effect);
 
     void note(std::uint32_t first, std::uint32_t last, std::uint64_t fence, const std::string& text);
--- a/tests/routing/knowledge_test.cpp
+++ b/tests/routing/knowledge_test.cpp
@@ -91,13 +91,25 @@
 // Guards against a change applied to another assignment than the one that it was made from, and against going back.
 TEST_CASE("a change passed on by the keeper is taken only on the version it was made from") {
     auto state = instance_of("south", 0);
-    const auto now = base::boot_time(2s);
+    auto now = base::boot_time(2s);
     const auto owner_of = [&state](std::uint32_t key) {
         return find_range(state.services[board].assignment, key)->owner.value();
     };
     assignment_changed change{board, 9, 12, 4, model::instance_id("north-1"), {range_of(0, 999, "c", 3)}};
     tell(state, now, change);
     REQUIRE(owner_of(5) == "a");
+    // One before it was missed, so that the row is read, but not for each such change.
+    change.base_version = 11;
+    const auto asks = [&] {
+        const auto effects = reduce(state, now, change);
+        return std::any_of(effects.begin(), effects.end(),
+                           [](const effect& item) { return std::holds_alternative<refresh_assignments>(item); });
+    };
+    now += 400ms;
+    REQUIRE(asks());
+    now += 50ms;
+    REQUIRE_FALSE(asks());
+    REQUIRE(owner_of(5) == "a");
     change.base_version = 10;
     tell(state, now, change);
     REQUIRE(owner_of(5) == "c");
--- a/tests/soak/store.cpp
+++ b/tests/soak/store.cpp
@@ -115,15 +115,19 @@
 void store::read(const exchange_pointer& exchange) {
     const auto table = decoded(exchange->request().query("table"));
     const auto from = decoded(exchange->request().query("from"));
+    const auto end = decoded(exchange->request().query("target"));
     const auto limit = std::max<std::uint64_t>(1, number(exchange->request().query("limit")));
     QJsonArray rows;
     auto at = rows_.lower_bound({table, from});
-    for (; at != rows_.end() && at->first.first == table && static_cast<std::uint64_t>(rows.size()) < limit; ++at) {
+    const auto is_asked = [&] {
+        return at != rows_.end() && at->first.first == table && (end.empty() || at->first.second < end);
+    };
+    for (; is_asked() && static_cast<std::uint64_t>(rows.size()) < limit; ++at) {
         rows.append(row_object(at->first));
     }
     auto body = envelope();
     body.insert("rows", rows);
-    body.insert("has_more", at != rows_.end() && at->first.first == table);
+    body.insert("has_more", is_asked());
     answer_later(exchange, 200, body);
 }
 
