telemetry: a full standard output does not hold up the event loop

Cause: log4cxx writes to standard output in the caller's thread; with a full pipe the event loop would stand still. Change: a line is left out and counted when poll says that the output takes none now.

Test: 'a full output does not hold up the one who logs' hung until killed with the code before, and passes now.

--- a/source/telemetry/event_log.cpp
+++ b/source/telemetry/event_log.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cctype>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/level.h>
@@ -11,6 +14,12 @@
 namespace lovagetack::telemetry {
 namespace {
 
+/// A pipe that is not full takes a line of up to PIPE_BUF bytes at once. What cannot be asked is taken to be writable.
+bool takes_line(int descriptor) {
+    pollfd query{descriptor, POLLOUT, 0};
+    return ::poll(&query, 1, 0) != 0;
+}
+
 bool needs_quotes(const std::string& value) {
     return value.empty() || std::any_of(value.begin(), value.end(), [](unsigned char letter) {
                return std::isspace(letter) != 0 || std::iscntrl(letter) != 0 || letter == '"' || letter == '=' ||
@@ -73,7 +82,8 @@
 }
 
 event_log::event_log(const std::string& instance, log_level lowest, const std::string& file)
-    : lowest_(lowest), logger_(log4cxx::Logger::getLogger("lovagetack." + instance)) {
+    : lowest_(lowest), to_standard_output_(file.empty()),
+      logger_(log4cxx::Logger::getLogger("lovagetack." + instance)) {
     const auto layout =
         std::make_shared<log4cxx::PatternLayout>("time=%d{ISO8601} level=%p instance=" + instance + " %m%n");
     log4cxx::AppenderPtr appender;
@@ -93,7 +103,7 @@
         return;
     }
     auto& rate = rates_[entry.name];
-    if (!admit(rate, now)) {
+    if (!admit(rate, now) || (to_standard_output_ && !takes_line(STDOUT_FILENO))) {
         ++rate.suppressed;
         return;
     }
--- a/source/telemetry/event_log.hpp
+++ b/source/telemetry/event_log.hpp
@@ -27,8 +27,8 @@
 /// quoted, with backslash escapes.
 [[nodiscard]] std::string format_fields(const std::vector<model::timeline_field>& fields);
 
-/// Writes one key=value line per event through log4cxx. Repeats of one event name beyond a rate are counted instead,
-/// and the count stands in the next line of that name.
+/// Writes one key=value line per event through log4cxx. Repeats of one event name beyond a rate, and lines that a full
+/// standard output would hold up, are counted instead, and the count stands in the next line of that name.
 class event_log {
 public:
     /// file empty: standard output.
@@ -51,6 +51,7 @@
     [[nodiscard]] bool admit(rate& rate, base::boot_time now) const;
 
     log_level lowest_;
+    bool to_standard_output_;
     log4cxx::LoggerPtr logger_;
     std::unordered_map<std::string, rate> rates_;
 };
--- a/tests/telemetry/telemetry_test.cpp
+++ b/tests/telemetry/telemetry_test.cpp
@@ -1,5 +1,11 @@
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <string>
+
+#include <fcntl.h>
+#include <unistd.h>
+
 #include "base/hybrid_clock.hpp"
 #include "telemetry/event_log.hpp"
 #include "telemetry/latency_histogram.hpp"
@@ -52,6 +58,28 @@
     CHECK(clock.next() < before + 3'600'000'000ULL);
 }
 
+// Guards against an event loop that waits for whoever should read its log.
+TEST_CASE("a full output does not hold up the one who logs") {
+    std::array<int, 2> ends{};
+    REQUIRE(::pipe2(ends.data(), O_CLOEXEC) == 0);
+    const int output = ::dup(STDOUT_FILENO);
+    REQUIRE(::dup2(ends[1], STDOUT_FILENO) >= 0);
+    {
+        event_log log("full", log_level::info, "");
+        const std::string filling(1000, 'x');
+        for (int number = 0; number < 400; ++number) {
+            // Names of their own, so that the rate of one name is no limit: far more than a pipe holds.
+            log.write(log_level::info, base::boot_clock::now(),
+                      {"event" + std::to_string(number), {{"filling", filling}}});
+        }
+    }
+    ::dup2(output, STDOUT_FILENO);
+    ::close(output);
+    ::close(ends[1]);
+    ::close(ends[0]);
+    SUCCEED("all lines were taken or left out");
+}
+
 // Guards against the time line growing without bound.
 TEST_CASE("the time line keeps the latest entries only") {
     timeline_buffer buffer("east-1", 2);
