--- a/tests/soak/run.cpp
+++ b/tests/soak/run.cpp
@@ -546,7 +546,7 @@
 // Time.
 
 std::chrono::milliseconds run::between(int least, int most) {
-    return std::chrono::milliseconds(least + static_cast<int>(draw(static_cast<std::size_t>(most - least + 1))));
+    return std::chrono::milliseconds(std::uniform_int_distribution<int>(least, most)(random_));
 }
 
 void run::after(std::chrono::milliseconds delay, std::function<void()> function) {
