--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -27,6 +27,7 @@
 /// Least time between two messages of an instance, for the square of the number of instances that get them, so that the
 /// work of receiving grows no faster than the deployment.
 inline constexpr std::chrono::microseconds load_period_per_square = 250us;
+/// Looking whether a message is due more often than this would cost more than the message.
 inline constexpr std::chrono::microseconds shortest_load_period = 1ms;
 /// Messages are sent at least this often, so that silence can be noticed.
 inline constexpr std::chrono::microseconds idle_load_period = 250ms;
