routing: the keeper in four files; one anonymous namespace a file

The lines are the same but for two names, write_lease and in_milliseconds. part_from asked twice whether a single key is too much; expected_time checked the age of a report that told_requests checks.

--- /dev/null
+++ b/source/routing/duty.cpp
@@ -0,0 +1,168 @@
+#include "routing/duty.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "routing/keeper.hpp"
+#include "routing/log_fields.hpp"
+
+namespace lovagetack::routing {
+namespace {
+
+/// The latest time that the store's clock can show now.
+std::int64_t latest_store_time(const keeper_state& keeper, base::boot_time now) {
+    return keeper.store_time + in_milliseconds(now - keeper.asked_at) + 1;
+}
+
+/// How readily an instance takes the duty, which costs more than a small one can spare.
+double readiness_for_duty(std::uint32_t processor) {
+    const double cores = processor == 0 ? 1.0 : static_cast<double>(processor) / 1000.0;
+    return cores * cores;
+}
+
+keeper_lease next_lease(const step& step) {
+    const auto& keeper = step.state.keeper;
+    keeper_lease lease;
+    lease.holder = step.state.self.instance;
+    lease.incarnation = step.state.self.incarnation;
+    lease.until = latest_store_time(keeper, step.now) + lease_time.count();
+    lease.renewals_until = std::max(lease.until + renewal_right.count(), keeper.lease.renewals_until);
+    return lease;
+}
+
+} // namespace
+
+std::int64_t in_milliseconds(std::chrono::microseconds time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+bool lease_holds(const step& step) {
+    const auto& keeper = step.state.keeper;
+    return latest_store_time(keeper, step.now) < keeper.lease.until - clock_margin.count();
+}
+
+bool may_change(const step& step) {
+    return step.state.keeper.phase == keeper_phase::holding && lease_holds(step);
+}
+
+bool may_renew(const step& step) {
+    const auto& keeper = step.state.keeper;
+    return keeper.assignments_current && keeper.lease.holder == step.state.self.instance &&
+           keeper.lease.incarnation == step.state.self.incarnation &&
+           latest_store_time(keeper, step.now) < keeper.lease.renewals_until - clock_margin.count();
+}
+
+void note_store_time(keeper_state& keeper, std::int64_t store_time, base::boot_time asked_at, base::boot_time now) {
+    keeper.store_time = store_time;
+    keeper.asked_at = asked_at;
+    keeper.answered_at = now;
+}
+
+void schedule_check(step& step) {
+    // All instances together check about once in lease_check_period.
+    const double own = readiness_for_duty(step.state.self.processor);
+    double all = 0;
+    for (const auto& [id, record] : step.state.instances) {
+        all += readiness_for_duty(record.processor);
+    }
+    const double share = std::min(1.0, own / std::max(own, all));
+    const auto mean =
+        std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(lease_check_period.count()) / share));
+    const auto random = static_cast<std::int64_t>(step.state.random() % 1000);
+    step.state.keeper.next_check = step.now + mean / 2 + mean * random / 1000;
+}
+
+void schedule_first_check(step& step) {
+    const auto processor = step.state.self.processor == 0 ? 1000 : static_cast<std::int64_t>(step.state.self.processor);
+    const auto random = static_cast<std::int64_t>(step.state.random() % 1000);
+    step.state.keeper.next_check = step.now + first_check_delay * 1000 / processor + first_check_spread * random / 1000;
+}
+
+void stand_down(step& step, const char* reason) {
+    auto& keeper = step.state.keeper;
+    if (keeper.phase == keeper_phase::holding || keeper.phase == keeper_phase::reading) {
+        step.add(log_line{false, "keeper_stopped", {text_field("reason", reason)}});
+    }
+    keeper.phase = keeper_phase::idle;
+    keeper.assignments_current = false;
+    keeper.lease = {};
+    keeper.grants.clear();
+    keeper.moves.clear();
+    keeper.owners.clear();
+    keeper.changed.clear();
+    keeper.writing.clear();
+    schedule_check(step);
+}
+
+void write_lease(step& step) {
+    auto& keeper = step.state.keeper;
+    keeper.pending = next_lease(step);
+    keeper.write_under_way = true;
+    keeper.renewed_at = step.now;
+    keeper.writing = std::exchange(keeper.changed, {});
+    write_rows rows;
+    rows.expected_lease_version = keeper.lease_version;
+    rows.lease = keeper.pending;
+    for (auto& [service, assignment] : keeper.writing) {
+        assignment.keeper = step.state.self.instance;
+        rows.assignments.emplace_back(service, assignment);
+    }
+    step.add(std::move(rows));
+}
+
+const assignment& newest(const step& step, const model::service_id& service) {
+    const auto& keeper = step.state.keeper;
+    if (const auto changed = keeper.changed.find(service); changed != keeper.changed.end()) {
+        return changed->second;
+    }
+    if (const auto writing = keeper.writing.find(service); writing != keeper.writing.end()) {
+        return writing->second;
+    }
+    return step.state.services.at(service).assignment;
+}
+
+bool has_new_incarnation(const state& state, const model::instance_id& instance, std::uint64_t incarnation) {
+    const auto found = state.instances.find(instance);
+    return found != state.instances.end() && found->second.incarnation > incarnation;
+}
+
+void tell_duty(const state& state, base::boot_time now, instance_load& message) {
+    const auto& keeper = state.keeper;
+    message.is_keeper = keeper.phase == keeper_phase::holding &&
+                        latest_store_time(keeper, now) < keeper.lease.until - clock_margin.count();
+    message.renews = keeper.phase != keeper_phase::idle && keeper.phase != keeper_phase::checking;
+}
+
+void hear_instance(step& step, const instance_load& event) {
+    auto& keeper = step.state.keeper;
+    if (event.is_keeper) {
+        step.state.keeper_heard_at = step.now;
+        const bool acts = keeper.phase == keeper_phase::holding || keeper.phase == keeper_phase::reading;
+        if (acts && !lease_holds(step)) {
+            stand_down(step, "another holder was heard");
+        }
+        return;
+    }
+    const bool former = event.instance == keeper.former_holder && event.incarnation == keeper.former_incarnation;
+    if (former && !event.renews && step.now < keeper.former_right_until) {
+        // It has heard of this one, and renews nothing more.
+        step.add(log_line{false, "former_keeper_stopped", {text_field("former", event.instance.value())}});
+        keeper.former_right_until = step.now;
+    }
+}
+
+void resign(step& step) {
+    auto& keeper = step.state.keeper;
+    if (keeper.phase != keeper_phase::holding || keeper.write_under_way || !may_change(step)) {
+        return;
+    }
+    write_rows rows;
+    rows.expected_lease_version = keeper.lease_version;
+    rows.lease.holder = step.state.self.instance;
+    rows.lease.incarnation = step.state.self.incarnation;
+    step.add(std::move(rows));
+    stand_down(step, "shutdown");
+    keeper.next_check = base::boot_time::max();
+}
+
+} // namespace lovagetack::routing
--- /dev/null
+++ b/source/routing/granting.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <chrono>
+
+#include "routing/step.hpp"
+
+namespace lovagetack::routing {
+
+// Grants of keys to their owners, and the moves of ranges from one owner to another.
+
+/// The longest time for which a grant can hold, by the owner's clock.
+[[nodiscard]] std::chrono::microseconds longest_hold();
+
+/// The server of a range's owner, if it lives the life that was assigned the keys.
+[[nodiscard]] const server_record* owner_of(const state& state, const key_range& range);
+
+/// The owner does not answer grants any more.
+[[nodiscard]] bool is_lost(const step& step, const model::backend_server_id& id);
+
+void renew_grants(step& step, const model::service_id& service, const service_record& record);
+
+/// Releases the range at its leaving owner, or grants it to the new one once the former grant has ended.
+void continue_move(step& step, const model::service_id& service, const key_range& range);
+
+} // namespace lovagetack::routing
--- a/source/routing/plan.cpp
+++ b/source/routing/plan.cpp
@@ -79,6 +79,74 @@
     return part;
 }
 
+/// What an overloaded owner can give away.
+struct part_to_move {
+    std::vector<key_range>::iterator range;
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    double load = 0;
+};
+
+/// The part of the range that carries about `load`. Where one key carries far more, the keys beside it; nothing if
+/// there are none.
+std::optional<part_to_move> part_of(std::vector<key_range>::iterator range, double load, double most,
+                                    const load_estimate& estimate) {
+    const double whole = estimate.of(range->first, range->last);
+    if (whole <= load) {
+        return part_to_move{range, range->first, range->last, whole};
+    }
+    auto last = estimate.end_of(range->first, range->last, load);
+    double taken = estimate.of(range->first, last);
+    if (taken <= most && last < range->last) {
+        return part_to_move{range, range->first, last, taken};
+    }
+    if (last > range->first) {
+        --last;
+        return part_to_move{range, range->first, last, estimate.of(range->first, last)};
+    }
+    if (range->first < range->last) {
+        return part_to_move{range, range->first + 1, range->last, estimate.of(range->first + 1, range->last)};
+    }
+    return std::nullopt;
+}
+
+/// The best part that the owner can give away: from its densest range, so that the fewest keys change hands for the
+/// same load, and from others where that is a single key. Nothing if it has only such keys.
+std::optional<part_to_move> part_from(assignment& assignment, const model::backend_server_id& owner, double load,
+                                      double most, const load_estimate& estimate) {
+    std::vector<std::pair<double, std::vector<key_range>::iterator>> owned;
+    for (auto at = assignment.ranges.begin(); at != assignment.ranges.end(); ++at) {
+        if (at->owner == owner && !at->moving()) {
+            owned.emplace_back(estimate.of(at->first, at->last) / at->width(), at);
+        }
+    }
+    std::sort(owned.begin(), owned.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+    for (const auto& [density, range] : owned) {
+        if (const auto part = part_of(range, load, most, estimate); part) {
+            return part;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Cuts the part out of its range and gives it to the candidate.
+void give(assignment& assignment, const part_to_move& part, const candidate& owner) {
+    const auto whole = *part.range;
+    const auto given = moved(whole, part.first, part.last, owner, assignment);
+    std::vector<key_range> pieces;
+    if (part.first > whole.first) {
+        pieces.push_back(whole);
+        pieces.back().last = part.first - 1;
+    }
+    pieces.push_back(given);
+    if (part.last < whole.last) {
+        pieces.push_back(whole);
+        pieces.back().first = part.last + 1;
+    }
+    const auto at = assignment.ranges.erase(part.range);
+    assignment.ranges.insert(at, pieces.begin(), pieces.end());
+}
+
 } // namespace
 
 load_estimate::load_estimate(std::vector<std::uint32_t> keys) : keys_(std::move(keys)) {
@@ -167,82 +235,6 @@
     return changed;
 }
 
-namespace {
-
-/// What an overloaded owner can give away.
-struct part_to_move {
-    std::vector<key_range>::iterator range;
-    std::uint32_t first = 0;
-    std::uint32_t last = 0;
-    double load = 0;
-};
-
-/// The part of the range that carries about `load`. Where one key carries far more, the keys beside it.
-std::optional<part_to_move> part_of(std::vector<key_range>::iterator range, double load, double most,
-                                    const load_estimate& estimate) {
-    const double whole = estimate.of(range->first, range->last);
-    if (whole <= load) {
-        return part_to_move{range, range->first, range->last, whole};
-    }
-    auto last = estimate.end_of(range->first, range->last, load);
-    double taken = estimate.of(range->first, last);
-    if (taken <= most && last < range->last) {
-        return part_to_move{range, range->first, last, taken};
-    }
-    if (last > range->first) {
-        --last;
-        return part_to_move{range, range->first, last, estimate.of(range->first, last)};
-    }
-    if (range->first < range->last) {
-        return part_to_move{range, range->first + 1, range->last, estimate.of(range->first + 1, range->last)};
-    }
-    return std::nullopt;
-}
-
-/// The best part that the owner can give away: from its densest range, so that the fewest keys change hands for the
-/// same load, and from others where that is a single key. Nothing if it has only such keys.
-std::optional<part_to_move> part_from(assignment& assignment, const model::backend_server_id& owner, double load,
-                                      double most, const load_estimate& estimate) {
-    std::vector<std::pair<double, std::vector<key_range>::iterator>> owned;
-    for (auto at = assignment.ranges.begin(); at != assignment.ranges.end(); ++at) {
-        if (at->owner == owner && !at->moving()) {
-            owned.emplace_back(estimate.of(at->first, at->last) / at->width(), at);
-        }
-    }
-    std::sort(owned.begin(), owned.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
-    for (const auto& [density, range] : owned) {
-        // A single key that alone is too much has to stay somewhere.
-        const bool only_one = range->width() == 1 && estimate.of(range->first, range->last) > most;
-        if (only_one) {
-            continue;
-        }
-        if (const auto part = part_of(range, load, most, estimate); part) {
-            return part;
-        }
-    }
-    return std::nullopt;
-}
-
-/// Cuts the part out of its range and gives it to the candidate.
-void give(assignment& assignment, const part_to_move& part, const candidate& owner) {
-    const auto whole = *part.range;
-    const auto given = moved(whole, part.first, part.last, owner, assignment);
-    std::vector<key_range> pieces;
-    if (part.first > whole.first) {
-        pieces.push_back(whole);
-        pieces.back().last = part.first - 1;
-    }
-    pieces.push_back(given);
-    if (part.last < whole.last) {
-        pieces.push_back(whole);
-        pieces.back().first = part.last + 1;
-    }
-    const auto at = assignment.ranges.erase(part.range);
-    assignment.ranges.insert(at, pieces.begin(), pieces.end());
-}
-
-} // namespace
-
 bool balance(assignment& assignment, const plan_inputs& inputs) {
     if (inputs.candidates.size() < 2) {
         return false;
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -121,14 +121,6 @@
     step.state.shutting_down = true;
 }
 
-} // namespace
-
-bool is_ready(const state& state) {
-    return !state.shutting_down && state.configuration.version > 0 && state.registry_known && state.assignments_known;
-}
-
-namespace {
-
 /// Events of requests and loads are many, and change nothing that the keeper acts on before the next tick.
 bool concerns_keeper(const event& event) {
     return !std::holds_alternative<request_arrived>(event) && !std::holds_alternative<caller_left>(event) &&
@@ -138,6 +130,10 @@
 
 } // namespace
 
+bool is_ready(const state& state) {
+    return !state.shutting_down && state.configuration.version > 0 && state.registry_known && state.assignments_known;
+}
+
 effects reduce(state& state, base::boot_time now, const event& event) {
     step step{state, now, {}};
     std::visit([&step](const auto& body) { on(step, body); }, event);
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -54,6 +54,16 @@
     record.cold_tokens = 1;
 }
 
+/// Requests that the server has, as it told itself; fewer the older that is, since they are served meanwhile.
+double told_requests(const server_record& server, double service_time, base::boot_time now) {
+    const auto age = now - server.load_at;
+    if (age >= report_age) {
+        return 0;
+    }
+    const double served = static_cast<double>(age.count()) * std::max(1, server.registration.slots) / service_time;
+    return std::max(0.0, static_cast<double>(server.load.running + server.load.waiting) - served);
+}
+
 } // namespace
 
 void learn_server(step& step, const backend_server& server) {
@@ -163,20 +173,6 @@
            (!server.evacuated_since || now - *server.evacuated_since < evacuated_service_time);
 }
 
-namespace {
-
-/// Requests that the server has, as it told itself; fewer the older that is, since they are served meanwhile.
-double told_requests(const server_record& server, double service_time, base::boot_time now) {
-    const auto age = now - server.load_at;
-    if (age >= report_age) {
-        return 0;
-    }
-    const double served = static_cast<double>(age.count()) * std::max(1, server.registration.slots) / service_time;
-    return std::max(0.0, static_cast<double>(server.load.running + server.load.waiting) - served);
-}
-
-} // namespace
-
 bool has_room(const state& state, const server_record& server, base::boot_time now) {
     if (server.paused_until > now) {
         return false;
@@ -220,15 +216,14 @@
     const double slots = std::max(1, server.registration.slots);
     double service = static_cast<double>(usual_time(state, server).count());
     // What the server said holds the less, the older it is: its queue is served meanwhile.
-    double others = 0;
     const auto age = now - server.load_at;
     if (age < report_age) {
         const double fresh = 1.0 - static_cast<double>(age.count()) / static_cast<double>(report_age.count());
         const double slowness = std::max(10, server.load.slowness) / 100.0;
         service *= 1.0 + (slowness - 1.0) * fresh;
-        others = told_requests(server, service, now);
     }
-    const double ahead = std::max(others, static_cast<double>(server.outstanding + server.peers_outstanding));
+    const double ahead = std::max(told_requests(server, service, now),
+                                  static_cast<double>(server.outstanding + server.peers_outstanding));
     const double queued = std::max(0.0, ahead + 1.0 - slots);
     return std::chrono::microseconds(static_cast<std::int64_t>(service * (1.0 + queued / slots)));
 }
