one copy of the list of calls, of HOST:PORT, of the wall clock and of a stored row

The soak's faults have a file of their own, and the tests of the decisions share their sample servers and routes. Behaviour is the same.

--- a/source/cli/http_call.cpp
+++ b/source/cli/http_call.cpp
@@ -14,7 +14,7 @@
 constexpr int timeout_in_milliseconds = 10'000;
 
 QNetworkRequest request_to(const model::address& address, const std::string& path_and_query) {
-    const auto base = "http://" + address.host + ':' + std::to_string(address.port);
+    const auto base = "http://" + model::to_text(address);
     QNetworkRequest request(QUrl(QString::fromStdString(base + path_and_query)));
     request.setTransferTimeout(timeout_in_milliseconds);
     request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
@@ -29,8 +29,7 @@
     const auto status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute);
     if (!status.isValid()) {
         return base::failure(base::result_code::peer_unreachable,
-                             address.host + ':' + std::to_string(address.port) +
-                                 " did not answer: " + reply->errorString().toStdString());
+                             model::to_text(address) + " did not answer: " + reply->errorString().toStdString());
     }
     return http_answer{status.toInt(), reply->readAll()};
 }
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "base/unix_time.hpp"
 #include "routing/reduce.hpp"
 
 namespace lovagetack::gateway {
@@ -23,11 +24,6 @@
 /// Of a backend server's connections, this share is left to the other instances.
 constexpr std::size_t connections_per_server = 8;
 
-std::uint64_t milliseconds_since_1970() {
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
-}
-
 std::size_t caller_connections(const settings& values) {
     return values.descriptors > 2 * own_descriptors ? values.descriptors - own_descriptors : values.descriptors / 2;
 }
@@ -43,9 +39,9 @@
 gateway::gateway(settings values, platform_parts parts)
     : settings_(std::move(values)), parts_(std::move(parts)),
       log_(settings_.instance.value(), telemetry::log_level::info, ""),
-      state_(
-          routing::identity{settings_.instance, settings_.data_centre, milliseconds_since_1970(), settings_.processor},
-          std::random_device{}()),
+      state_(routing::identity{settings_.instance, settings_.data_centre,
+                               static_cast<std::uint64_t>(base::time_since_1970().count()), settings_.processor},
+             std::random_device{}()),
       relay_(
           *parts_.dialect, [this](const routing::event& event) { handle(event); }, caller_connections(settings_)),
       load_exchange_([this](const routing::event& event) { handle(event); }),
@@ -62,7 +58,7 @@
     BOOST_OUTCOME_TRYV(operators_.listen(settings_.readiness));
     note(false, "started",
          {{"data_centre", settings_.data_centre.value()},
-          {"callers", settings_.callers.host + ':' + std::to_string(settings_.callers.port)},
+          {"callers", model::to_text(settings_.callers)},
           {"incarnation", std::to_string(state_.self.incarnation)}});
     if (settings_.metrics_port != 0) {
         BOOST_OUTCOME_TRYV(metrics_server_.listen({settings_.callers.host, settings_.metrics_port}));
--- a/source/gateway/load_exchange.cpp
+++ b/source/gateway/load_exchange.cpp
@@ -69,9 +69,8 @@
 
 base::result<void> load_exchange::listen(const model::address& address) {
     if (!socket_.bind(QHostAddress(QString::fromStdString(address.host)), address.port)) {
-        return base::failure(base::result_code::address_in_use, "cannot listen on UDP " + address.host + ":" +
-                                                                    std::to_string(address.port) + ": " +
-                                                                    socket_.errorString().toStdString());
+        return base::failure(base::result_code::address_in_use, "cannot listen on UDP " + model::to_text(address) +
+                                                                    ": " + socket_.errorString().toStdString());
     }
     return base::success();
 }
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -40,8 +40,7 @@
 
 base::result<void> server::listen(const model::address& address) {
     if (!listener_.listen(QHostAddress(QString::fromStdString(address.host)), address.port)) {
-        return base::failure(base::result_code::address_in_use, "cannot listen on " + address.host + ":" +
-                                                                    std::to_string(address.port) + ": " +
+        return base::failure(base::result_code::address_in_use, "cannot listen on " + model::to_text(address) + ": " +
                                                                     listener_.errorString().toStdString());
     }
     return base::success();
--- a/source/model/address.hpp
+++ b/source/model/address.hpp
@@ -15,6 +15,11 @@
     bool operator==(const address&) const = default;
 };
 
+/// "HOST:PORT"
+[[nodiscard]] inline std::string to_text(const address& address) {
+    return address.host + ':' + std::to_string(address.port);
+}
+
 } // namespace lovagetack::model
 
 template <>
--- a/source/peers/peer_transport.cpp
+++ b/source/peers/peer_transport.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 std::string endpoint_of(const model::address& address) {
-    return "tcp://" + address.host + ":" + std::to_string(address.port);
+    return "tcp://" + model::to_text(address);
 }
 
 /// The port at the end of "tcp://host:port".
--- a/source/service/admin_server.cpp
+++ b/source/service/admin_server.cpp
@@ -9,6 +9,7 @@
 #include <QUrlQuery>
 
 #include "base/json.hpp"
+#include "base/unix_time.hpp"
 
 namespace lovagetack::service {
 namespace {
@@ -50,7 +51,7 @@
 base::result<void> admin_server::listen(const model::address& address) {
     if (server_.listen(QHostAddress(QString::fromStdString(address.host)), address.port) == 0) {
         return base::failure(base::result_code::address_in_use,
-                             "operators' address " + address.host + ':' + std::to_string(address.port) + " is in use");
+                             "operators' address " + model::to_text(address) + " is in use");
     }
     return base::success();
 }
@@ -84,11 +85,8 @@
     if (!kind || !availability || name.empty()) {
         return text_answer("expected kind, name and availability\n", status_code::BadRequest);
     }
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    source_.order({.kind = *kind,
-                   .name = name,
-                   .availability = *availability,
-                   .operator_time = std::chrono::duration_cast<std::chrono::milliseconds>(now)});
+    source_.order(
+        {.kind = *kind, .name = name, .availability = *availability, .operator_time = base::time_since_1970()});
     return text_answer("accepted\n", status_code::Accepted);
 }
 
--- a/source/service/instance.cpp
+++ b/source/service/instance.cpp
@@ -7,6 +7,7 @@
 #include <QCoreApplication>
 
 #include "base/key_hash.hpp"
+#include "base/unix_time.hpp"
 #include "service/status.hpp"
 
 namespace lovagetack::service {
@@ -27,9 +28,7 @@
 constexpr std::chrono::milliseconds slow_request{250};
 
 model::incarnation new_incarnation() {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-    return model::incarnation(static_cast<std::uint64_t>(count));
+    return model::incarnation(static_cast<std::uint64_t>(base::time_since_1970().count()));
 }
 
 core::identity identity_of(const settings::instance_settings& settings) {
--- a/source/service/request_executor.cpp
+++ b/source/service/request_executor.cpp
@@ -15,7 +15,7 @@
 constexpr auto check_period = std::chrono::milliseconds(100);
 
 std::string host_field(const model::address& address) {
-    return "host: " + address.host + ":" + std::to_string(address.port) + "\r\n";
+    return "host: " + model::to_text(address) + "\r\n";
 }
 
 std::string cancel_text(const model::address& address, const model::request_id& request) {
--- a/source/settings/deployment_parser.cpp
+++ b/source/settings/deployment_parser.cpp
@@ -212,8 +212,7 @@
             std::find_if(deployment_.backend_servers.begin(), deployment_.backend_servers.end(),
                          [&](const model::backend_server& other) { return other.address == server.address; });
         if (same != deployment_.backend_servers.end()) {
-            group.report(name, server.address.host + ':' + std::to_string(server.address.port),
-                         "an address that no other backend server has");
+            group.report(name, model::to_text(server.address), "an address that no other backend server has");
         }
     }
 
--- a/tests/routing/knowledge_test.cpp
+++ b/tests/routing/knowledge_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "routing/reduce.hpp"
+#include "routing/samples.hpp"
 
 namespace lovagetack::routing::testing {
 namespace {
@@ -128,22 +129,11 @@
     configuration configuration;
     configuration.version = 1;
     configuration.services[board] = {board, "/health", 100, 6.0, 3000ms, true};
-    route route;
-    route.name = "look";
-    route.host = "host";
-    route.path_prefix = "/";
-    route.kind = request_kind::idempotent;
-    route.timeout = 1000ms;
-    route.latency_objective = 300ms;
-    route.targets = {{board, 1}};
-    configuration.routes = {route};
+    configuration.routes = {route_to("/", request_kind::idempotent, board)};
     tell(state, now, configuration_learned{configuration});
-    backend_server server;
-    server.id = model::backend_server_id("b");
-    server.service = board;
+    auto server = server_of("b", board);
     server.data_centre = model::data_centre_id("south");
     server.born = 1;
-    server.slots = 2;
     tell(state, now, backend_server_learned{server});
     request_arrived request;
     request.exchange = 1;
--- a/tests/routing/requests_test.cpp
+++ b/tests/routing/requests_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "routing/reduce.hpp"
+#include "routing/samples.hpp"
 
 namespace lovagetack::routing::testing {
 namespace {
@@ -12,30 +13,6 @@
 const model::service_id board{"board"};
 const model::service_id book{"book"};
 
-backend_server server_of(const std::string& id, const model::service_id& service) {
-    backend_server server;
-    server.id = model::backend_server_id(id);
-    server.service = service;
-    server.address = {"10.0.0.1", static_cast<std::uint16_t>(1000 + std::hash<std::string>{}(id) % 5000)};
-    server.data_centre = model::data_centre_id("north");
-    server.born = 7;
-    server.slots = 2;
-    return server;
-}
-
-route route_to(const std::string& prefix, request_kind kind, const model::service_id& service) {
-    route route;
-    route.name = prefix;
-    route.host = "host";
-    route.path_prefix = prefix;
-    route.kind = kind;
-    route.timeout = 1000ms;
-    route.latency_objective = 300ms;
-    route.most_attempts = 2;
-    route.targets = {{service, 1}};
-    return route;
-}
-
 /// One instance with two services: `board` divided by key, `book` not.
 class instance {
 public:
--- a/tests/soak/backend.cpp
+++ b/tests/soak/backend.cpp
@@ -5,6 +5,8 @@
 
 #include <QJsonDocument>
 
+#include "base/unix_time.hpp"
+
 namespace lovagetack::soak {
 namespace {
 
@@ -20,11 +22,6 @@
 constexpr double cold_overshoot = 1.5;
 constexpr double cold_slack = 8;
 
-std::int64_t milliseconds_since_1970() {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 QJsonObject object_of(const exchange_pointer& exchange) {
     return QJsonDocument::fromJson(QByteArray::fromStdString(exchange->request().body)).object();
 }
@@ -43,7 +40,7 @@
     server_ = std::make_unique<stand_ins::http_server>([this](const exchange_pointer& exchange) { handle(exchange); });
     BOOST_OUTCOME_TRY(address, server_->listen(address_));
     address_ = address;
-    born_ = std::max(born_ + 1, milliseconds_since_1970());
+    born_ = std::max<std::int64_t>(born_ + 1, base::time_since_1970().count());
     fault_ = backend_fault::none;
     leaving_ = false;
     leaving_since_ = clock::time_point::max();
@@ -74,7 +71,7 @@
 QJsonObject backend::registration() const {
     const auto cold = std::chrono::duration_cast<std::chrono::milliseconds>(cold_until_ - clock::now());
     return {
-        {"address", QString::fromStdString(address_.host + ':' + std::to_string(address_.port))},
+        {"address", QString::fromStdString(model::to_text(address_))},
         {"born", static_cast<qint64>(born_)},
         {"info", QJsonObject{{"service", QString::fromStdString(self_.service)},
                              {"version", "v1"},
--- a/tests/soak/run.cpp
+++ b/tests/soak/run.cpp
@@ -1,21 +1,19 @@
 #include "soak/run.hpp"
 
 #include <algorithm>
-#include <csignal>
 #include <fstream>
-#include <stdexcept>
 
 #include <QEventLoop>
 #include <QJsonArray>
 #include <QJsonDocument>
 
 #include "http/header_rules.hpp"
+#include "soak/checked.hpp"
 
 namespace lovagetack::soak {
 namespace {
 
 using namespace std::chrono_literals;
-using stand_ins::link_mode;
 
 constexpr std::size_t caller_connections = 64;
 constexpr auto request_deadline = 2000ms;
@@ -27,19 +25,6 @@
 constexpr auto recovery_time = 10s;
 constexpr auto judged_time = 4s;
 constexpr double least_served = 0.9;
-constexpr auto registration_lapse = 2600ms;
-
-std::string text_of(const model::address& address) {
-    return address.host + ':' + std::to_string(address.port);
-}
-
-template <class Value>
-Value checked(base::result<Value> result) {
-    if (!result) {
-        throw std::runtime_error(result.error().message);
-    }
-    return std::move(result).value();
-}
 
 QJsonObject route(const std::string& name, const std::string& prefix, const char* type, const char* service) {
     return {{"name", QString::fromStdString(name)},
@@ -73,7 +58,6 @@
         }
     }
     calls_.clear();
-    ended_.clear();
 }
 
 void run::set_up() {
@@ -102,7 +86,8 @@
                                                              caller_connections);
         made->readiness_pool =
             std::make_unique<http::connection_pool>(model::address{"127.0.0.1", made->readiness.number()}, 2);
-        write_settings(*made, text_of(link), data_centres_[static_cast<std::size_t>(number) % data_centres_.size()]);
+        write_settings(*made, model::to_text(link),
+                       data_centres_[static_cast<std::size_t>(number) % data_centres_.size()]);
         start_instance(*made);
         instances_.push_back(std::move(made));
     }
@@ -173,16 +158,17 @@
         }
         instance->pool->check_times(http::client_connection::clock::now());
     }
-    ended_.clear();
+    calls_.forget_ended();
 }
 
 void run::ask_readiness() {
     for (const auto& item : instances_) {
         auto* const instance = item.get();
-        call(*instance->readiness_pool, "GET /v1/ready HTTP/1.1\r\nHost: " + instance->readiness.address() + "\r\n\r\n",
-             900ms, [instance](const http::call_result& result) {
-                 instance->missed = result.status == 200 ? 0 : instance->missed + 1;
-             });
+        calls_.begin(*instance->readiness_pool,
+                     "GET /v1/ready HTTP/1.1\r\nHost: " + instance->readiness.address() + "\r\n\r\n", 900ms,
+                     [instance](const http::call_result& result) {
+                         instance->missed = result.status == 200 ? 0 : instance->missed + 1;
+                     });
     }
 }
 
@@ -287,7 +273,7 @@
     }
     ++requests_;
     witness_.note_call(sent);
-    call(*instance.pool, request_text(sent), request_deadline, [this, sent](const http::call_result& result) {
+    calls_.begin(*instance.pool, request_text(sent), request_deadline, [this, sent](const http::call_result& result) {
         call_outcome outcome;
         outcome.status = result.status;
         outcome.sent = result.sent;
@@ -299,250 +285,6 @@
     });
 }
 
-void run::call(http::connection_pool& pool, std::string text, std::chrono::milliseconds timeout,
-               http::call::done_function done) {
-    calls_.emplace_back();
-    const auto at = std::prev(calls_.end());
-    *at = std::make_unique<http::call>(pool, std::move(text), timeout,
-                                       [this, at, done = std::move(done)](const http::call_result& result) {
-                                           ended_.splice(ended_.end(), calls_, at);
-                                           done(result);
-                                       });
-    (*at)->begin();
-}
-
-// Faults.
-
-void run::schedule_fault() {
-    const auto mean = static_cast<int>(options_.fault_pause.count());
-    after(between(mean / 4, mean * 7 / 4), [this] {
-        if (injecting_) {
-            inject_fault();
-            schedule_fault();
-        }
-    });
-}
-
-void run::inject_fault() {
-    using fault = void (run::*)();
-    static constexpr fault kinds[] = {&run::disturb_instance, &run::disturb_instance,    &run::disturb_store,
-                                      &run::disturb_link,     &run::disturb_backend,     &run::disturb_backend,
-                                      &run::evacuate,         &run::write_configuration, &run::write_configuration};
-    (this->*kinds[draw(std::size(kinds))])();
-}
-
-void run::disturb_instance() {
-    auto* const target = instances_[draw(instances_.size())].get();
-    if (!target->process || target->process->status()) {
-        return;
-    }
-    switch (draw(5)) {
-    case 0:
-        note_fault("SIGKILL " + target->name);
-        witness_.note_disturbed(target->number);
-        target->process->kill();
-        target->process.reset();
-        after(between(300, 3000), [this, target] { start_instance(*target); });
-        return;
-    case 1:
-    case 2:
-        if (target->paused || target->leaving) {
-            return;
-        }
-        note_fault("SIGTERM " + target->name);
-        target->leaving = true;
-        target->leaving_since = clock::now();
-        witness_.note_termination(target->number);
-        target->process->terminate();
-        return;
-    case 3:
-        note_fault("SIGHUP " + target->name);
-        ::kill(target->process->id(), SIGHUP);
-        return;
-    default:
-        if (target->paused) {
-            return;
-        }
-        note_fault("SIGSTOP " + target->name);
-        target->paused = true;
-        witness_.note_disturbed(target->number);
-        target->process->pause();
-        after(between(200, 4500), [this, target, life = target->life] {
-            if (target->life == life && target->process) {
-                note_fault("SIGCONT " + target->name);
-                target->process->resume();
-                target->paused = false;
-                target->leaving_since = clock::now();
-                witness_.note_disturbed(target->number);
-                witness_.note_resumed();
-            }
-        });
-    }
-}
-
-void run::disturb_store() {
-    if (store_disturbed_) {
-        return;
-    }
-    store_faults faults;
-    switch (draw(5)) {
-    case 0:
-        note_fault("store down");
-        faults.down = true;
-        break;
-    case 1:
-        note_fault("store loses answers");
-        faults.lost_answers = 0.4;
-        break;
-    case 2:
-        note_fault("store writes late");
-        faults.late_writes = 0.4;
-        break;
-    case 3:
-        note_fault("store slow");
-        faults.delay = 250ms;
-        break;
-    default:
-        note_fault("store forgets its history");
-        store_.forget_history();
-        return;
-    }
-    store_disturbed_ = true;
-    witness_.note_store_disturbed();
-    store_.set_faults(faults);
-    after(between(500, 5000), [this] {
-        note_fault("store well");
-        store_.set_faults({});
-        store_disturbed_ = false;
-    });
-}
-
-void run::disturb_link() {
-    static constexpr std::pair<link_mode, const char*> modes[] = {
-        {link_mode::cut, "cut"},
-        {link_mode::refuse, "refused"},
-        {link_mode::delay, "delayed"},
-        {link_mode::drop_to_server, "one-way to the store"},
-        {link_mode::drop_to_client, "one-way from the store"}};
-    auto* const target = instances_[draw(instances_.size())].get();
-    if (target->link_disturbed) {
-        return;
-    }
-    const auto& [mode, name] = modes[draw(std::size(modes))];
-    note_fault("link of " + target->name + " to the store " + name);
-    stand_ins::link_condition condition;
-    condition.mode = mode;
-    condition.delay = 300ms;
-    condition.random.seed(random_());
-    target->link_disturbed = true;
-    witness_.note_disturbed(target->number);
-    target->store_link->set_condition(condition);
-    if (draw(3) == 0) {
-        target->store_link->silence_open();
-    }
-    after(between(500, 6000), [this, target] {
-        note_fault("link of " + target->name + " whole");
-        target->store_link->set_condition({});
-        target->link_disturbed = false;
-        witness_.note_disturbed(target->number);
-    });
-}
-
-void run::disturb_backend() {
-    auto& server = *backends_[draw(backends_.size())];
-    if (!server.is_up() || server.is_leaving()) {
-        return;
-    }
-    static constexpr std::pair<backend_fault, const char*> faults[] = {
-        {backend_fault::slow, "slow"}, {backend_fault::resets, "resets"}, {backend_fault::silent, "silent"},
-        {backend_fault::cuts, "cuts"}, {backend_fault::full, "full"},     {backend_fault::fails, "fails"}};
-    const auto kind = draw(std::size(faults) + 4);
-    if (kind < std::size(faults)) {
-        note_fault(server.self().id + ' ' + faults[kind].second);
-        server.set_fault(faults[kind].first);
-        after(between(500, 3000), [target = &server] { target->set_fault(backend_fault::none); });
-        return;
-    }
-    replace_backend(server);
-}
-
-/// A crash, or an exit with or without a report before; then another life at the same address.
-void run::replace_backend(backend& server) {
-    auto* const target = &server;
-    std::chrono::milliseconds exit = 0ms;
-    switch (draw(4)) {
-    case 0:
-    case 1:
-        note_fault(server.self().id + " crashes");
-        after(registration_lapse, [this, target] {
-            if (!target->is_up()) {
-                withdraw(*target);
-            }
-        });
-        break;
-    case 2:
-        note_fault(server.self().id + " leaves");
-        server.begin_leaving();
-        publish(server);
-        exit = between(4000, 6000);
-        break;
-    default:
-        note_fault(server.self().id + " leaves without a report");
-        server.begin_leaving();
-        when_stored([this, target] {
-            if (!store_.remove("servers", target->self().id)) {
-                return false;
-            }
-            target->note_leaving();
-            return true;
-        });
-        exit = between(4000, 6000);
-        break;
-    }
-    const bool reported = exit > 0ms;
-    after(exit, [this, target, reported] {
-        target->crash();
-        if (reported) {
-            withdraw(*target);
-        }
-        after(between(200, 4000), [this, target] {
-            note_fault(target->self().id + " starts");
-            checked(target->start());
-            target->make_cold(3000ms);
-            publish(*target);
-            // The registration changes once more when the cold time is over.
-            after(3000ms, [this, target] { publish(*target); });
-        });
-    });
-}
-
-void run::evacuate() {
-    const auto zone = data_centres_[draw(data_centres_.size())];
-    if (!store_.put("op", "evacuate/" + zone, {{"since", 1}})) {
-        return;
-    }
-    note_fault("evacuation of " + zone);
-    for (const auto& server : backends_) {
-        if (server->self().data_centre == zone) {
-            server->note_evacuated(true);
-        }
-    }
-    after(between(6000, 8000), [this, zone] {
-        for (const auto& server : backends_) {
-            if (server->self().data_centre == zone) {
-                server->note_evacuated(false);
-            }
-        }
-        when_stored([this, zone] { return store_.remove("op", "evacuate/" + zone); });
-        note_fault("evacuation of " + zone + " taken back");
-    });
-}
-
-void run::heal() {
-    injecting_ = false;
-    note_fault("no further faults");
-}
-
 // Time.
 
 std::chrono::milliseconds run::between(int least, int most) {
@@ -579,7 +321,8 @@
     injecting_ = true;
     schedule_fault();
     wait(options_.duration);
-    heal();
+    injecting_ = false;
+    note_fault("no further faults");
     // The longest fault lasts 8 s.
     wait(8s + recovery_time);
     (void)witness_.take_share();
--- a/tests/soak/run.hpp
+++ b/tests/soak/run.hpp
@@ -3,7 +3,6 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <memory>
 #include <random>
 #include <set>
@@ -13,7 +12,7 @@
 
 #include <QTimer>
 
-#include "http/call.hpp"
+#include "http/call_list.hpp"
 #include "integration/process.hpp"
 #include "integration/reserved_port.hpp"
 #include "integration/temporary_folder.hpp"
@@ -87,8 +86,6 @@
     void send_request(instance& instance);
     instance* choose_instance();
     std::string request_text(const sent_call& call);
-    void call(http::connection_pool& pool, std::string text, std::chrono::milliseconds timeout,
-              http::call::done_function done);
 
     void schedule_fault();
     void inject_fault();
@@ -99,7 +96,6 @@
     void replace_backend(backend& server);
     void evacuate();
     void keep_disturbances_known();
-    void heal();
 
     void after(std::chrono::milliseconds delay, std::function<void()> function);
     /// Tries until the store takes it.
@@ -120,8 +116,7 @@
     std::vector<std::string> data_centres_{"east", "west"};
     int configuration_ = 0;
     std::uint64_t last_request_ = 0;
-    std::list<std::unique_ptr<http::call>> calls_;
-    std::list<std::unique_ptr<http::call>> ended_;
+    http::call_list calls_;
     bool injecting_ = false;
     bool store_disturbed_ = false;
     double due_requests_ = 0;
--- a/tests/soak/witness.hpp
+++ b/tests/soak/witness.hpp
@@ -56,7 +56,7 @@
     void note_run(const std::string& id, const std::string& server);
     /// The server itself broke the request off.
     void note_broken_off(const std::string& id) { broken_off_[id] = true; }
-    /// The server `id` is held by is leaving since that time.
+    /// The request reached a server that has been leaving since that time.
     void note_arrival_at_leaving(const std::string& id, const std::string& server, clock::time_point leaving_since);
     void note_unknown_request(const std::string& id, const std::string& server);
     /// A grant gave `server` a key whose grant at `other` had `left` to run.
--- a/tests/stand_ins/http_server.cpp
+++ b/tests/stand_ins/http_server.cpp
@@ -42,8 +42,7 @@
 
 base::result<model::address> http_server::listen(const model::address& address) {
     if (!listener_.listen(QHostAddress(QString::fromStdString(address.host)), address.port)) {
-        return base::failure(base::result_code::address_in_use, "cannot listen on " + address.host + ":" +
-                                                                    std::to_string(address.port) + ": " +
+        return base::failure(base::result_code::address_in_use, "cannot listen on " + model::to_text(address) + ": " +
                                                                     listener_.errorString().toStdString());
     }
     return model::address{address.host, listener_.serverPort()};
--- a/tests/stand_ins/proxy_link.cpp
+++ b/tests/stand_ins/proxy_link.cpp
@@ -36,10 +36,6 @@
     return mode == link_mode::cut || mode == link_mode::refuse;
 }
 
-std::string to_text(const model::address& address) {
-    return address.host + ':' + std::to_string(address.port);
-}
-
 } // namespace
 
 proxy_link::proxy_link(std::string name, model::address server) : server_(std::move(server)) {
