tests: run the sequences of disturbances as tests of their own

Change: each first disturbance is a section and a test of ctest; all seeds, pairs and checks are the same.

--- a/tests/sequences/ownership_test.cpp
+++ b/tests/sequences/ownership_test.cpp
@@ -55,18 +55,22 @@
 // keys that stay without an owner, under one kind of failure.
 TEST_CASE("ownership holds and recovers under each single disturbance") {
     for (int kind = 0; kind < testing::disturbance_count; ++kind) {
-        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-            check_run(seed + 100 * static_cast<std::uint64_t>(kind), kind, 0);
+        DYNAMIC_SECTION("disturbance " << kind) {
+            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+                check_run(seed + 100 * static_cast<std::uint64_t>(kind), kind, 0);
+            }
         }
     }
 }
 
-// The same under two kinds of failure at a time.
+// The same under two kinds of failure at a time. tests/CMakeLists.txt runs each section as a test of its own.
 TEST_CASE("ownership holds and recovers under each pair of disturbances") {
     for (int first = 1; first < testing::disturbance_count; ++first) {
-        for (int second = first; second < testing::disturbance_count; ++second) {
-            check_run(10000 + 100 * static_cast<std::uint64_t>(first) + static_cast<std::uint64_t>(second), first,
-                      second);
+        DYNAMIC_SECTION("first disturbance " << first) {
+            for (int second = first; second < testing::disturbance_count; ++second) {
+                check_run(10000 + 100 * static_cast<std::uint64_t>(first) + static_cast<std::uint64_t>(second), first,
+                          second);
+            }
         }
     }
 }
