--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -62,6 +62,10 @@
     void execute(const routing::apply_table_change& effect) { store_->execute(effect); }
     void execute(const routing::catch_up& effect) { store_->execute(effect); }
     void execute(const routing::send_heartbeat& effect) { load_exchange_.send(effect, state_.instances); }
+    void execute(const routing::send_slot_request& effect) { load_exchange_.send(effect, state_.instances); }
+    void execute(const routing::send_slot_answer& effect) { load_exchange_.send(effect, state_.instances); }
+    void execute(const routing::send_slot_release& effect) { load_exchange_.send(effect, state_.instances); }
+    void execute(const routing::send_slot_report& effect) { load_exchange_.send(effect, state_.instances); }
     void execute(const routing::send_table_change& effect) {
         load_exchange_.send(effect, state_.self.instance, state_.instances);
     }
--- a/source/gateway/load_exchange.cpp
+++ b/source/gateway/load_exchange.cpp
@@ -12,6 +12,12 @@
 namespace lovagetack::gateway {
 namespace {
 
+/// Values of rows are compressed from this length on, in bytes. A configuration of hundreds of routes shrinks to a
+/// tenth.
+constexpr std::size_t compressed_from_bytes = 2048;
+/// Largest datagram, in bytes; the protocol allows 65,507.
+constexpr std::size_t largest_datagram = 60000;
+
 routing::instance_load decode_load(const wire::GatewayLoad& message) {
     routing::instance_load load;
     load.instance = model::instance_id(message.instance());
@@ -146,6 +152,60 @@
     return heartbeat;
 }
 
+routing::slot_request decode_slot_request(const wire::GatewaySlotRequest& message) {
+    routing::slot_request request;
+    request.sender = model::instance_id(message.sender());
+    request.incarnation = message.incarnation();
+    request.ask = message.ask();
+    request.service = model::service_id(message.service());
+    request.data_centre = model::data_centre_id(message.data_centre());
+    request.group = message.group();
+    request.priority = message.priority();
+    request.age = std::chrono::milliseconds(message.age_ms());
+    request.patience = std::chrono::milliseconds(message.patience_ms());
+    for (const auto& server : message.excluded()) {
+        request.excluded.emplace_back(server);
+    }
+    return request;
+}
+
+routing::slot_answer decode_slot_answer(const wire::GatewaySlotAnswer& message) {
+    return {model::instance_id(message.dispatcher()), message.ask(),
+            static_cast<routing::slot_outcome>(message.outcome()), model::backend_server_id(message.server()),
+            std::chrono::milliseconds(message.wait_ms())};
+}
+
+routing::slot_release decode_slot_release(const wire::GatewaySlotRelease& message) {
+    routing::slot_release release;
+    release.sender = model::instance_id(message.sender());
+    release.incarnation = message.incarnation();
+    release.ask = message.ask();
+    release.server = model::backend_server_id(message.server());
+    if (!message.attempted()) {
+        return release;
+    }
+    auto& attempt = release.attempt.emplace();
+    attempt.outcome = static_cast<routing::attempt_outcome>(message.outcome());
+    attempt.status = message.status();
+    attempt.elapsed = std::chrono::milliseconds(message.elapsed_ms());
+    if (message.told()) {
+        attempt.load = routing::reported_load{
+            static_cast<std::int32_t>(message.running()), static_cast<std::int32_t>(message.waiting()),
+            static_cast<std::int32_t>(message.slots()), static_cast<std::int32_t>(message.slowness())};
+    }
+    return release;
+}
+
+routing::slot_report decode_slot_report(const wire::GatewaySlotReport& message) {
+    routing::slot_report report;
+    report.sender = model::instance_id(message.sender());
+    report.incarnation = message.incarnation();
+    for (const auto& slot : message.slots()) {
+        report.slots.push_back({slot.ask(), model::backend_server_id(slot.server())});
+    }
+    return report;
+}
+
 /// Nothing for a table that this build does not know.
 std::optional<routing::followed_table> decode_table(std::uint32_t number) {
     if (number >= routing::followed_table_count) {
@@ -162,7 +222,8 @@
     received.change.base = message.base();
     received.change.version = message.version();
     for (const auto& row : message.rows()) {
-        received.change.rows.push_back({row.key(), row.version(), row.removed(), row.value()});
+        auto value = row.compressed() ? qUncompress(QByteArray::fromStdString(row.value())).toStdString() : row.value();
+        received.change.rows.push_back({row.key(), row.version(), row.removed(), std::move(value)});
     }
     return received;
 }
@@ -211,9 +272,30 @@
     send(encode(effect.heartbeat), effect.receivers, instances);
 }
 
+void load_exchange::send(const routing::send_slot_request& effect, const instance_records& instances) {
+    send(encode(effect.request), effect.receiver, instances);
+}
+
+void load_exchange::send(const routing::send_slot_answer& effect, const instance_records& instances) {
+    send(encode(effect.answer), effect.receiver, instances);
+}
+
+void load_exchange::send(const routing::send_slot_release& effect, const instance_records& instances) {
+    send(encode(effect.release), effect.receiver, instances);
+}
+
+void load_exchange::send(const routing::send_slot_report& effect, const instance_records& instances) {
+    send(encode(effect.report), effect.receiver, instances);
+}
+
 void load_exchange::send(const routing::send_table_change& effect, const model::instance_id& sender,
                          const instance_records& instances) {
-    send(encode(routing::table_change_received{sender, effect.change}), effect.receivers, instances);
+    auto bytes = encode(routing::table_change_received{sender, effect.change});
+    if (bytes.size() > largest_datagram) {
+        // The receivers read the change from the store.
+        bytes = encode(routing::table_changes_unknown{effect.change.table});
+    }
+    send(bytes, effect.receivers, instances);
 }
 
 void load_exchange::send(const routing::request_table_changes& effect, const instance_records& instances) {
@@ -374,6 +456,72 @@
     return envelope.SerializeAsString();
 }
 
+std::string load_exchange::encode(const routing::slot_request& request) {
+    wire::GatewayMessage envelope;
+    auto& message = *envelope.mutable_slot_request();
+    message.set_sender(request.sender.value());
+    message.set_incarnation(request.incarnation);
+    message.set_ask(request.ask);
+    message.set_service(request.service.value());
+    message.set_data_centre(request.data_centre.value());
+    message.set_group(request.group);
+    message.set_priority(request.priority);
+    message.set_age_ms(static_cast<std::uint32_t>(request.age.count()));
+    message.set_patience_ms(static_cast<std::uint32_t>(request.patience.count()));
+    for (const auto& server : request.excluded) {
+        message.add_excluded(server.value());
+    }
+    return envelope.SerializeAsString();
+}
+
+std::string load_exchange::encode(const routing::slot_answer& answer) {
+    wire::GatewayMessage envelope;
+    auto& message = *envelope.mutable_slot_answer();
+    message.set_dispatcher(answer.dispatcher.value());
+    message.set_ask(answer.ask);
+    message.set_outcome(static_cast<std::uint32_t>(answer.outcome));
+    message.set_server(answer.server.value());
+    message.set_wait_ms(static_cast<std::uint32_t>(answer.wait.count()));
+    return envelope.SerializeAsString();
+}
+
+std::string load_exchange::encode(const routing::slot_release& release) {
+    wire::GatewayMessage envelope;
+    auto& message = *envelope.mutable_slot_release();
+    message.set_sender(release.sender.value());
+    message.set_incarnation(release.incarnation);
+    message.set_ask(release.ask);
+    message.set_server(release.server.value());
+    if (release.attempt) {
+        message.set_attempted(true);
+        message.set_outcome(static_cast<std::uint32_t>(release.attempt->outcome));
+        message.set_status(release.attempt->status);
+        message.set_elapsed_ms(static_cast<std::uint32_t>(release.attempt->elapsed.count()));
+    }
+    if (release.attempt && release.attempt->load) {
+        const auto& load = *release.attempt->load;
+        message.set_told(true);
+        message.set_running(static_cast<std::uint32_t>(load.running));
+        message.set_waiting(static_cast<std::uint32_t>(load.waiting));
+        message.set_slots(static_cast<std::uint32_t>(load.slots));
+        message.set_slowness(static_cast<std::uint32_t>(load.slowness));
+    }
+    return envelope.SerializeAsString();
+}
+
+std::string load_exchange::encode(const routing::slot_report& report) {
+    wire::GatewayMessage envelope;
+    auto& message = *envelope.mutable_slot_report();
+    message.set_sender(report.sender.value());
+    message.set_incarnation(report.incarnation);
+    for (const auto& slot : report.slots) {
+        auto& item = *message.add_slots();
+        item.set_ask(slot.ask);
+        item.set_server(slot.server.value());
+    }
+    return envelope.SerializeAsString();
+}
+
 std::string load_exchange::encode(const routing::table_change_received& received) {
     wire::GatewayMessage envelope;
     auto& message = *envelope.mutable_table_change();
@@ -386,7 +534,9 @@
         row.set_key(item.key);
         row.set_version(item.version);
         row.set_removed(item.removed);
-        row.set_value(item.value);
+        const bool compressed = item.value.size() >= compressed_from_bytes;
+        row.set_compressed(compressed);
+        row.set_value(compressed ? qCompress(QByteArray::fromStdString(item.value)).toStdString() : item.value);
     }
     return envelope.SerializeAsString();
 }
@@ -439,6 +589,20 @@
             return routing::event(routing::table_changes_unknown{*table});
         }
         break;
+    case wire::GatewayMessage::kSlotRequest:
+        return routing::event(decode_slot_request(message.slot_request()));
+    case wire::GatewayMessage::kSlotAnswer:
+        if (message.slot_answer().outcome() <= static_cast<std::uint32_t>(routing::slot_outcome::refused)) {
+            return routing::event(decode_slot_answer(message.slot_answer()));
+        }
+        break;
+    case wire::GatewayMessage::kSlotRelease:
+        if (message.slot_release().outcome() <= static_cast<std::uint32_t>(routing::attempt_outcome::cut_short)) {
+            return routing::event(decode_slot_release(message.slot_release()));
+        }
+        break;
+    case wire::GatewayMessage::kSlotReport:
+        return routing::event(decode_slot_report(message.slot_report()));
     case wire::GatewayMessage::BODY_NOT_SET:
         break;
     }
--- a/source/gateway/load_exchange.hpp
+++ b/source/gateway/load_exchange.hpp
@@ -32,6 +32,10 @@
     void send(const routing::send_renewal_orders& effect, const instance_records& instances);
     void send(const routing::send_renewal_report& effect, const instance_records& instances);
     void send(const routing::send_heartbeat& effect, const instance_records& instances);
+    void send(const routing::send_slot_request& effect, const instance_records& instances);
+    void send(const routing::send_slot_answer& effect, const instance_records& instances);
+    void send(const routing::send_slot_release& effect, const instance_records& instances);
+    void send(const routing::send_slot_report& effect, const instance_records& instances);
     void send(const routing::send_table_change& effect, const model::instance_id& sender,
               const instance_records& instances);
     void send(const routing::request_table_changes& effect, const instance_records& instances);
@@ -43,6 +47,10 @@
     [[nodiscard]] static std::string encode(const routing::renewal_orders& orders);
     [[nodiscard]] static std::string encode(const routing::renewal_report& report);
     [[nodiscard]] static std::string encode(const routing::reader_heartbeat& heartbeat);
+    [[nodiscard]] static std::string encode(const routing::slot_request& request);
+    [[nodiscard]] static std::string encode(const routing::slot_answer& answer);
+    [[nodiscard]] static std::string encode(const routing::slot_release& release);
+    [[nodiscard]] static std::string encode(const routing::slot_report& report);
     [[nodiscard]] static std::string encode(const routing::table_change_received& message);
     [[nodiscard]] static std::string encode(const routing::table_changes_wanted& message);
     [[nodiscard]] static std::string encode(const routing::table_changes_unknown& message);
--- a/source/routing/delegation.cpp
+++ b/source/routing/delegation.cpp
@@ -133,7 +133,7 @@
         delegate.orders = std::move(orders);
         delegate.sequence = ++step.state.keeper.order_sequence;
         for (const auto& order : delegate.orders) {
-            delegate.possible.insert({order.service, order.fence});
+            delegate.possible.insert({order.service, order.server});
         }
     }
     const auto period = delegate.confirmed_sequence == delegate.sequence ? renewal_orders_period : renewal_orders_retry;
@@ -217,8 +217,8 @@
     }
     if (event.incarnation > delegate.incarnation && delegate.incarnation != 0) {
         // The new run does not know what the one before has sent.
-        for (const auto& grant : delegate.possible) {
-            delegate.renewed_before[grant] = step.now;
+        for (const auto& owner : delegate.possible) {
+            delegate.renewed_before[owner] = step.now;
         }
     }
     delegate.incarnation = event.incarnation;
@@ -229,10 +229,10 @@
     if (delegate.confirmed_sequence == delegate.sequence) {
         delegate.possible.clear();
         for (const auto& order : delegate.orders) {
-            delegate.possible.insert({order.service, order.fence});
+            delegate.possible.insert({order.service, order.server});
         }
         for (const auto& status : event.renewals) {
-            delegate.possible.insert({status.order.service, status.order.fence});
+            delegate.possible.insert({status.order.service, status.order.server});
         }
     }
     note_owners(step, event);
@@ -242,16 +242,16 @@
                                              const key_range& range) {
     delegated_renewals result;
     const auto concerns = [&](const renewal_order& order) {
-        return order.service == service && order.fence == range.leaving_fence && order.first <= range.last &&
+        return order.service == service && order.server == range.leaving && order.first <= range.last &&
                order.last >= range.first;
     };
     for (const auto& [id, delegate] : step.state.keeper.delegates) {
-        const auto before = delegate.renewed_before.find({service, range.leaving_fence});
+        const auto before = delegate.renewed_before.find({service, range.leaving});
         if (before != delegate.renewed_before.end()) {
             result.sent_at = std::max(result.sent_at, before->second);
             result.unanswered_at = std::max(result.unanswered_at, before->second);
         }
-        if (!delegate.possible.contains({service, range.leaving_fence})) {
+        if (!delegate.possible.contains({service, range.leaving})) {
             continue;
         }
         if (delegate.confirmed_sequence != delegate.sequence) {
--- /dev/null
+++ b/source/routing/dispatching.cpp
@@ -0,0 +1,270 @@
+#include "routing/dispatching.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "routing/groups.hpp"
+#include "routing/limits.hpp"
+#include "routing/log_fields.hpp"
+#include "routing/servers.hpp"
+
+namespace lovagetack::routing {
+namespace {
+
+/// Cost of a further request at a server whose other slots are in use, as a share of the time of a request: some
+/// servers slow down when they are nearly full.
+constexpr double busy_slot_share = 0.25;
+
+server_group group_of_request(const slot_request& request) {
+    return {request.service, request.data_centre, request.group};
+}
+
+std::int32_t used_slots(const state& state, const model::backend_server_id& server) {
+    const auto found = state.dispatch.used.find(server);
+    return found == state.dispatch.used.end() ? 0 : found->second;
+}
+
+void free_slot(step& step, std::map<ask_id, slot_record>::iterator slot) {
+    auto& dispatch = step.state.dispatch;
+    const auto used = dispatch.used.find(slot->second.server);
+    if (used != dispatch.used.end() && --used->second <= 0) {
+        dispatch.used.erase(used);
+    }
+    dispatch.slots.erase(slot);
+}
+
+void use_slot(step& step, const ask_id& id, const model::backend_server_id& server, std::uint64_t incarnation) {
+    auto& dispatch = step.state.dispatch;
+    dispatch.slots[id] = {server, incarnation, step.now, step.now};
+    ++dispatch.used[server];
+}
+
+/// Expected time of a request that is sent to the server now, in microseconds.
+double expected_time_at(const step& step, const server_record& server) {
+    double time = static_cast<double>(usual_time(step.state, server).count());
+    if (step.now - server.load_at < report_age) {
+        time *= std::max(10, server.load.slowness) / 100.0;
+    }
+    const double busy = used_slots(step.state, server.registration.id) / static_cast<double>(server.registration.slots);
+    return time * (1.0 + busy_slot_share * busy) / (1.0 - std::min(0.9, server.failing));
+}
+
+/// The server of the group with a free slot that is expected to answer first; null if there is none.
+server_record* choose_free_server(step& step, const slot_request& request) {
+    server_record* best = nullptr;
+    double best_time = 0;
+    for (const auto& id : servers_of(step.state, group_of_request(request))) {
+        auto& server = step.state.servers.at(id);
+        const bool excluded = std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
+        if (excluded || !takes_new_work(step.state, server, step.now) ||
+            used_slots(step.state, id) >= server.registration.slots) {
+            continue;
+        }
+        const double jitter = 0.95 + static_cast<double>(step.state.random() % 1000) / 10000.0;
+        const double time = expected_time_at(step, server) * jitter;
+        if (best != nullptr && time >= best_time) {
+            continue;
+        }
+        if (is_cold(server, step.now)) {
+            auto server_copy = server;
+            if (!take_whole_cold_token(step.state, server_copy, step.now)) {
+                continue;
+            }
+        }
+        best = &server;
+        best_time = time;
+    }
+    return best;
+}
+
+/// Expected time until the slot for a request is free that has `ahead` requests before it; nothing if no server of the
+/// group takes requests.
+std::optional<std::chrono::microseconds> expected_wait(step& step, const server_group& group, std::size_t ahead) {
+    double rate = 0;
+    for (const auto& id : servers_of(step.state, group)) {
+        const auto& server = step.state.servers.at(id);
+        if (takes_new_work(step.state, server, step.now) && !is_cold(server, step.now)) {
+            rate += server.registration.slots / static_cast<double>(usual_time(step.state, server).count());
+        }
+    }
+    if (rate <= 0) {
+        return std::nullopt;
+    }
+    return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(ahead + 1) / rate));
+}
+
+void reply(step& step, const slot_request& request, slot_outcome outcome, const model::backend_server_id& server,
+           std::chrono::milliseconds wait) {
+    step.add(send_slot_answer{request.sender, {step.state.self.instance, request.ask, outcome, server, wait}});
+}
+
+bool grant(step& step, const slot_request& request) {
+    auto* const server = choose_free_server(step, request);
+    if (server == nullptr || !take_whole_cold_token(step.state, *server, step.now)) {
+        return false;
+    }
+    use_slot(step, {request.sender, request.ask}, server->registration.id, request.incarnation);
+    reply(step, request, slot_outcome::granted, server->registration.id, std::chrono::milliseconds(0));
+    return true;
+}
+
+/// Gives the free slots of the group to the requests that wait for it.
+void serve_queue(step& step, const server_group& group) {
+    const auto found = step.state.dispatch.queues.find(group);
+    if (found == step.state.dispatch.queues.end()) {
+        return;
+    }
+    auto& queue = found->second;
+    for (auto at = queue.begin(); at != queue.end();) {
+        if (!grant(step, at->second.request)) {
+            // One that has tried the free servers must not hold up the others.
+            if (at->second.request.excluded.empty()) {
+                break;
+            }
+            ++at;
+            continue;
+        }
+        at = queue.erase(at);
+    }
+    if (queue.empty()) {
+        step.state.dispatch.queues.erase(found);
+    }
+}
+
+void remove_from_queue(step& step, const ask_id& id) {
+    for (auto& [group, queue] : step.state.dispatch.queues) {
+        std::erase_if(queue, [&id](const auto& entry) { return std::get<2>(entry.first) == id; });
+    }
+}
+
+void drop_old_asks(step& step) {
+    for (auto& [group, queue] : step.state.dispatch.queues) {
+        for (auto at = queue.begin(); at != queue.end();) {
+            const auto& waiting = at->second;
+            if (step.now <= waiting.until && step.now - waiting.heard_at <= queue_expiry) {
+                ++at;
+                continue;
+            }
+            if (step.now > waiting.until) {
+                const auto wait = expected_wait(step, group, queue.size()).value_or(std::chrono::microseconds(0));
+                reply(step, waiting.request, slot_outcome::refused, {},
+                      std::chrono::duration_cast<std::chrono::milliseconds>(wait));
+            }
+            at = queue.erase(at);
+        }
+    }
+}
+
+} // namespace
+
+void answer_slot_request(step& step, const slot_request& event) {
+    auto& dispatch = step.state.dispatch;
+    if (!step.state.registry_known || step.state.shutting_down) {
+        // The sender asks another dispatcher.
+        return;
+    }
+    const ask_id id{event.sender, event.ask};
+    if (const auto slot = dispatch.slots.find(id); slot != dispatch.slots.end()) {
+        reply(step, event, slot_outcome::granted, slot->second.server, std::chrono::milliseconds(0));
+        return;
+    }
+    const auto group = group_of_request(event);
+    auto& queue = dispatch.queues[group];
+    const auto known =
+        std::find_if(queue.begin(), queue.end(), [&id](const auto& entry) { return std::get<2>(entry.first) == id; });
+    if (known != queue.end()) {
+        known->second.heard_at = step.now;
+        reply(step, event, slot_outcome::queued, {}, std::chrono::milliseconds(0));
+        return;
+    }
+    const std::tuple place{event.priority, step.now - event.age, id};
+    const auto ahead = static_cast<std::size_t>(std::distance(queue.begin(), queue.lower_bound(place)));
+    const bool first = ahead == 0;
+    if (first && grant(step, event)) {
+        if (queue.empty()) {
+            dispatch.queues.erase(group);
+        }
+        return;
+    }
+    const auto wait = expected_wait(step, group, ahead);
+    if (!wait || *wait > event.patience * queue_acceptance_percent / 100) {
+        const auto told =
+            std::chrono::duration_cast<std::chrono::milliseconds>(wait.value_or(std::chrono::microseconds(0)));
+        reply(step, event, slot_outcome::refused, {}, told);
+    } else {
+        queue[place] = {event, step.now + event.patience, step.now};
+        reply(step, event, slot_outcome::queued, {}, std::chrono::milliseconds(0));
+    }
+    if (queue.empty()) {
+        dispatch.queues.erase(group);
+    }
+}
+
+void release_slot(step& step, const slot_release& event) {
+    auto& dispatch = step.state.dispatch;
+    const ask_id id{event.sender, event.ask};
+    remove_from_queue(step, id);
+    const auto slot = dispatch.slots.find(id);
+    if (slot == dispatch.slots.end()) {
+        return;
+    }
+    const auto server = step.state.servers.find(slot->second.server);
+    free_slot(step, slot);
+    if (server == step.state.servers.end()) {
+        return;
+    }
+    if (event.attempt && event.sender != step.state.self.instance) {
+        const auto& attempt = *event.attempt;
+        record_outcome(step, server->second, {0, {}, attempt.outcome, attempt.status, false, attempt.load},
+                       attempt.elapsed);
+    }
+    serve_queue(step, group_of(step.state, server->second.registration));
+}
+
+void note_slot_report(step& step, const slot_report& event) {
+    auto& dispatch = step.state.dispatch;
+    const auto in_report = [&event](const ask_id& id) {
+        return std::any_of(event.slots.begin(), event.slots.end(),
+                           [&id](const slot_in_use& slot) { return slot.ask == id.ask; });
+    };
+    for (auto at = dispatch.slots.lower_bound({event.sender, 0});
+         at != dispatch.slots.end() && at->first.sender == event.sender;) {
+        const auto next = std::next(at);
+        const bool recent = step.now - at->second.granted_at < slot_report_period;
+        if (at->second.incarnation != event.incarnation || (!in_report(at->first) && !recent)) {
+            free_slot(step, at);
+        }
+        at = next;
+    }
+    for (const auto& slot : event.slots) {
+        const ask_id id{event.sender, slot.ask};
+        const auto known = dispatch.slots.find(id);
+        if (known == dispatch.slots.end()) {
+            use_slot(step, id, slot.server, event.incarnation);
+        } else {
+            known->second.confirmed_at = step.now;
+        }
+    }
+}
+
+void run_dispatcher(step& step) {
+    auto& dispatch = step.state.dispatch;
+    for (auto at = dispatch.slots.begin(); at != dispatch.slots.end();) {
+        const auto next = std::next(at);
+        if (step.now - at->second.confirmed_at > slot_expiry) {
+            free_slot(step, at);
+        }
+        at = next;
+    }
+    drop_old_asks(step);
+    std::vector<server_group> groups;
+    for (const auto& [group, queue] : dispatch.queues) {
+        groups.push_back(group);
+    }
+    for (const auto& group : groups) {
+        serve_queue(step, group);
+    }
+}
+
+} // namespace lovagetack::routing
--- a/source/routing/effect.hpp
+++ b/source/routing/effect.hpp
@@ -117,6 +117,26 @@
     followed_table table = followed_table::operators;
 };
 
+struct send_slot_request {
+    model::instance_id receiver;
+    slot_request request;
+};
+
+struct send_slot_answer {
+    model::instance_id receiver;
+    slot_answer answer;
+};
+
+struct send_slot_release {
+    model::instance_id receiver;
+    slot_release release;
+};
+
+struct send_slot_report {
+    model::instance_id receiver;
+    slot_report report;
+};
+
 /// Sends the load of this instance to other instances.
 struct send_load {
     instance_load load;
@@ -159,11 +179,11 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 
-using effect =
-    std::variant<send_request, cancel_attempt, deliver_answer, answer_caller, grant_range, release_range,
-                 send_renewal_orders, send_renewal_report, follow_store, send_heartbeat, send_table_change,
-                 request_table_changes, send_known_changes, apply_table_change, catch_up, send_load, send_change,
-                 read_lease, read_assignments, refresh_assignments, write_rows, request_delivered, log_line>;
+using effect = std::variant<send_request, cancel_attempt, deliver_answer, answer_caller, grant_range, release_range,
+                            send_renewal_orders, send_renewal_report, follow_store, send_heartbeat, send_table_change,
+                            request_table_changes, send_known_changes, apply_table_change, catch_up, send_slot_request,
+                            send_slot_answer, send_slot_release, send_slot_report, send_load, send_change, read_lease,
+                            read_assignments, refresh_assignments, write_rows, request_delivered, log_line>;
 using effects = std::vector<effect>;
 
 } // namespace lovagetack::routing
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -271,6 +271,90 @@
     std::vector<requested_keys> keys;
 };
 
+// Outcomes of attempts.
+
+enum class attempt_outcome : std::uint8_t {
+    /// The whole answer went to the caller.
+    delivered,
+    /// The answer is a failure that the server signed; the shell holds it for deliver_answer.
+    failed,
+    /// The server reports that it did not run the request.
+    not_run,
+    /// Another server has the address.
+    wrong_server,
+    /// The server does not hold the key.
+    no_key,
+    /// No connection was made and nothing was sent.
+    not_connected,
+    /// The connection ended before a whole answer, and nothing of it went to the caller.
+    connection_lost,
+    /// The answer is not the server's whole, signed answer.
+    invalid_answer,
+    /// The answer ended early after a part had gone to the caller, whose connection is closed.
+    cut_short,
+};
+
+// Slots of backend servers, which one instance, the dispatcher of a group of servers, gives out for all.
+
+/// Asks a dispatcher for a slot at any server of a group. Sent again until it is answered.
+struct slot_request {
+    model::instance_id sender;
+    std::uint64_t incarnation = 0;
+    /// Unique within the run of the sender.
+    std::uint64_t ask = 0;
+    model::service_id service;
+    model::data_centre_id data_centre;
+    std::uint32_t group = 0;
+    std::int32_t priority = 0;
+    /// Time since the caller's request arrived.
+    std::chrono::milliseconds age{0};
+    /// Longest time in the queue after which the answer still comes in time.
+    std::chrono::milliseconds patience{0};
+    /// Servers that have been tried.
+    std::vector<model::backend_server_id> excluded;
+};
+
+enum class slot_outcome : std::uint8_t { granted, queued, refused };
+
+struct slot_answer {
+    model::instance_id dispatcher;
+    std::uint64_t ask = 0;
+    slot_outcome outcome = slot_outcome::refused;
+    model::backend_server_id server;
+    /// Expected time until a slot is free, if refused.
+    std::chrono::milliseconds wait{0};
+};
+
+/// What an attempt showed of its server.
+struct attempt_summary {
+    attempt_outcome outcome = attempt_outcome::connection_lost;
+    int status = 0;
+    std::chrono::milliseconds elapsed{0};
+    std::optional<reported_load> load;
+};
+
+/// Gives a slot back, or takes a request out of the queue.
+struct slot_release {
+    model::instance_id sender;
+    std::uint64_t incarnation = 0;
+    std::uint64_t ask = 0;
+    model::backend_server_id server;
+    std::optional<attempt_summary> attempt;
+};
+
+/// A slot that an instance has, and its request for it.
+struct slot_in_use {
+    std::uint64_t ask = 0;
+    model::backend_server_id server;
+};
+
+/// All slots that the sender has from a dispatcher, so that lost messages and lost instances leave none in use.
+struct slot_report {
+    model::instance_id sender;
+    std::uint64_t incarnation = 0;
+    std::vector<slot_in_use> slots;
+};
+
 // Tables of the store that few instances, the readers, follow for all.
 
 /// A table has been read or changed. The events for its rows came before.
@@ -317,28 +401,7 @@
     followed_table table = followed_table::operators;
 };
 
-// Progress and outcomes of attempts.
-
-enum class attempt_outcome : std::uint8_t {
-    /// The whole answer went to the caller.
-    delivered,
-    /// The answer is a failure that the server signed; the shell holds it for deliver_answer.
-    failed,
-    /// The server reports that it did not run the request.
-    not_run,
-    /// Another server has the address.
-    wrong_server,
-    /// The server does not hold the key.
-    no_key,
-    /// No connection was made and nothing was sent.
-    not_connected,
-    /// The connection ended before a whole answer, and nothing of it went to the caller.
-    connection_lost,
-    /// The answer is not the server's whole, signed answer.
-    invalid_answer,
-    /// The answer ended early after a part had gone to the caller, whose connection is closed.
-    cut_short,
-};
+// Progress and ends of attempts.
 
 /// The request's first byte was written to a connection.
 struct attempt_sent {
@@ -367,12 +430,13 @@
 /// Shutdown of the instance begins: it is no longer ready, and gives up the keeper's lease.
 struct shutdown_begun {};
 
-using event = std::variant<store_reachability_changed, configuration_updated, configuration_rejected,
-                           evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
-                           assignment_learned, assignment_changed, assignments_complete, instance_updated,
-                           instance_removed, lease_read, rows_written, assignments_read, grant_ended, release_ended,
-                           renewal_orders, renewal_report, table_updated, reader_heartbeat, table_change_received,
-                           table_changes_wanted, table_changes_unknown, instance_load, request_arrived, caller_left,
-                           attempt_sent, answer_forwarding_started, attempt_ended, ticked, shutdown_begun>;
+using event =
+    std::variant<store_reachability_changed, configuration_updated, configuration_rejected, evacuations_updated,
+                 backend_server_updated, backend_server_removed, registry_complete, assignment_learned,
+                 assignment_changed, assignments_complete, instance_updated, instance_removed, lease_read, rows_written,
+                 assignments_read, grant_ended, release_ended, renewal_orders, renewal_report, table_updated,
+                 slot_request, slot_answer, slot_release, slot_report, reader_heartbeat, table_change_received,
+                 table_changes_wanted, table_changes_unknown, instance_load, request_arrived, caller_left, attempt_sent,
+                 answer_forwarding_started, attempt_ended, ticked, shutdown_begun>;
 
 } // namespace lovagetack::routing
--- a/source/routing/granting.cpp
+++ b/source/routing/granting.cpp
@@ -31,7 +31,9 @@
     // An owner that has seen a token of this term rejects grants of former holders.
     const auto server = step.state.servers.find(range.leaving);
     const bool same_life = server != step.state.servers.end() && server->second.registration.born == range.leaving_born;
-    const bool fenced = same_life && keeper.confirmed.contains({service, range.leaving_fence});
+    const auto first_token = keeper.first_tokens.find(service);
+    const bool of_this_term = first_token != keeper.first_tokens.end() && range.leaving_fence >= first_token->second;
+    const bool fenced = same_life && of_this_term && keeper.confirmed.contains({service, range.leaving_fence});
     const auto last_former_grant = std::max(keeper.former_renewals_until, keeper.started_at);
     const auto delegated = renewals_of_leaving_owner(step, service, range);
     if (delegated.possible) {
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -307,15 +307,11 @@
         keeper.next_read = step.now + store_retry;
         return;
     }
-    // A term that continues after a pause keeps its fencing tokens.
-    const bool new_term = !keeper.assignments_current && keeper.confirmed.empty();
     keeper.assignments_current = true;
     keeper.phase = keeper_phase::holding;
     keeper.next_plan = step.now;
     remove_old_records(step);
-    if (new_term) {
-        renew_all_fences(step);
-    }
+    renew_former_fences(step);
 }
 
 void run_keeper(step& step) {
--- a/source/routing/keeper_plan.cpp
+++ b/source/routing/keeper_plan.cpp
@@ -181,20 +181,19 @@
     }
 }
 
-void renew_all_fences(step& step) {
+void renew_former_fences(step& step) {
     auto& keeper = step.state.keeper;
     for (const auto& [name, record] : step.state.services) {
-        keeper.first_tokens[name] = record.assignment.next_fence;
-        if (record.assignment.ranges.empty()) {
-            continue;
-        }
+        const auto first = keeper.first_tokens.try_emplace(name, record.assignment.next_fence).first->second;
         auto next = record.assignment;
         for (auto& range : next.ranges) {
-            if (!range.moving()) {
+            if (!range.moving() && range.fence < first) {
                 range.fence = next.next_fence++;
             }
         }
-        keeper.changed[name] = std::move(next);
+        if (next != record.assignment) {
+            keeper.changed[name] = std::move(next);
+        }
     }
 }
 
--- a/source/routing/keeper_plan.hpp
+++ b/source/routing/keeper_plan.hpp
@@ -19,8 +19,9 @@
 /// former holder.
 void renew_fence(step& step, const range_id& id);
 
-/// Gives all ranges that are not moving new fencing tokens, so that servers reject grants of a former holder that are
-/// in transit or that it still sends.
-void renew_all_fences(step& step);
+/// Gives the ranges that are not moving and have a token of an earlier term new ones, so that servers reject grants of
+/// a former holder that are in transit or that it still sends. Called after each read of the assignments, since the
+/// write of the new tokens may have failed.
+void renew_former_fences(step& step);
 
 } // namespace lovagetack::routing
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -99,6 +99,35 @@
 /// Time within which registrations that expired during an outage of the store return after it.
 inline constexpr std::chrono::microseconds registry_return = 2200ms;
 
+// Dispatchers of slots, in a large deployment.
+
+/// Servers of a data centre and service that one dispatcher gives out: enough that a free slot is likely while half of
+/// them are in use.
+inline constexpr std::size_t servers_per_group = 16;
+/// A request for a slot is sent again after this time, and a dispatcher that leaves it unanswered for the longer one is
+/// replaced for the time of suspicion.
+inline constexpr std::chrono::microseconds ask_retry = 60ms;
+inline constexpr std::chrono::microseconds ask_timeout = 160ms;
+inline constexpr std::chrono::microseconds dispatcher_suspicion = 2s;
+inline constexpr std::chrono::microseconds longest_suspicion = 16s;
+/// After more silent dispatchers an instance chooses a server itself.
+inline constexpr std::int32_t most_silent_dispatchers = 2;
+/// Period in which a queued request is sent again, so that its place is kept and a lost grant is noticed.
+inline constexpr std::chrono::microseconds queue_refresh = 160ms;
+/// A queued request that was not sent again for this long is dropped.
+inline constexpr std::chrono::microseconds queue_expiry = 1000ms;
+inline constexpr std::chrono::microseconds slot_report_period = 400ms;
+/// A slot that its instance does not report for this long is free again.
+inline constexpr std::chrono::microseconds slot_expiry = 1500ms;
+/// A request waits in the queue of a dispatcher if its answer is expected within this part of its latency objective.
+/// The rest is left for work that takes longer than usual: a queue at the limit would make half of the answers late.
+inline constexpr int longest_queue_percent = 75;
+/// A request is queued if its wait is expected to be within this part of its patience, so that few wait in vain.
+inline constexpr int queue_acceptance_percent = 80;
+/// Groups that a request asks, one after the other: first in the own data centre, then in others.
+inline constexpr std::int32_t own_groups_asked = 2;
+inline constexpr std::int32_t most_groups_asked = 4;
+
 // Readers of the store. In a small deployment each instance follows the store itself.
 
 inline constexpr std::chrono::microseconds heartbeat_period = 200ms;
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -1,8 +1,11 @@
 #include "routing/reduce.hpp"
 
+#include <type_traits>
 #include <variant>
 
+#include "routing/asking.hpp"
 #include "routing/delegation.hpp"
+#include "routing/dispatching.hpp"
 #include "routing/keeper.hpp"
 #include "routing/log_fields.hpp"
 #include "routing/peers.hpp"
@@ -67,7 +70,11 @@
 }
 
 void on(step& step, const instance_updated& event) {
-    step.state.instances[event.instance] = event.record;
+    auto& record = step.state.instances[event.instance];
+    if (record.incarnation != event.record.incarnation) {
+        step.state.dispatch.suspects.erase(event.instance);
+    }
+    record = event.record;
     forget_reader_ranks(step);
 }
 
@@ -110,6 +117,22 @@
     note_table(step, event);
 }
 
+void on(step& step, const slot_request& event) {
+    answer_slot_request(step, event);
+}
+
+void on(step& step, const slot_answer& event) {
+    end_ask(step, event);
+}
+
+void on(step& step, const slot_release& event) {
+    release_slot(step, event);
+}
+
+void on(step& step, const slot_report& event) {
+    note_slot_report(step, event);
+}
+
 void on(step& step, const reader_heartbeat& event) {
     note_heartbeat(step, event);
 }
@@ -155,6 +178,8 @@
     remove_silent_peers(step);
     run_renewals(step);
     run_readers(step);
+    run_dispatcher(step);
+    run_asks(step);
 }
 
 void on(step& step, const shutdown_begun& /*event*/) {
@@ -163,11 +188,13 @@
 
 /// These events are frequent, and the keeper does not have to act on them before the next tick.
 bool concerns_keeper(const event& event) {
-    return !std::holds_alternative<request_arrived>(event) && !std::holds_alternative<caller_left>(event) &&
-           !std::holds_alternative<attempt_sent>(event) && !std::holds_alternative<answer_forwarding_started>(event) &&
-           !std::holds_alternative<attempt_ended>(event) && !std::holds_alternative<instance_load>(event) &&
-           !std::holds_alternative<renewal_orders>(event) && !std::holds_alternative<renewal_report>(event) &&
-           !std::holds_alternative<reader_heartbeat>(event);
+    const auto is_any_of = [&event]<class... Events>(std::type_identity<std::variant<Events...>> /*kinds*/) {
+        return (std::holds_alternative<Events>(event) || ...);
+    };
+    return !is_any_of(
+        std::type_identity<std::variant<request_arrived, caller_left, attempt_sent, answer_forwarding_started,
+                                        attempt_ended, instance_load, renewal_orders, renewal_report, reader_heartbeat,
+                                        slot_request, slot_answer, slot_release, slot_report>>());
 }
 
 } // namespace
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "routing/asking.hpp"
+#include "routing/exchanges.hpp"
 #include "routing/log_fields.hpp"
 #include "routing/peers.hpp"
 #include "routing/servers.hpp"
@@ -15,11 +17,6 @@
 /// Time reserved before the caller's deadline for sending the answer back.
 constexpr std::chrono::microseconds answer_margin = 15ms;
 
-std::chrono::milliseconds spread_retry_after(step& step) {
-    const auto spread = static_cast<std::uint64_t>(retry_after_spread.count());
-    return shortest_retry_after + std::chrono::milliseconds(step.state.random() % spread);
-}
-
 std::string_view name_of(attempt_outcome outcome) {
     switch (outcome) {
     case attempt_outcome::delivered:
@@ -44,60 +41,6 @@
     return "";
 }
 
-service_record& service_of(step& step, const exchange& exchange) {
-    return step.state.services[exchange.service];
-}
-
-bool divided_by_key(const state& state, const model::service_id& service) {
-    const auto found = state.configuration.services.find(service);
-    return found != state.configuration.services.end() && found->second.divided_by_key;
-}
-
-void remove_from_queues(step& step, exchange_id id, const exchange& exchange) {
-    const std::tuple key{exchange.priority, exchange.request.arrived, id};
-    auto& service = service_of(step, exchange);
-    service.queue.erase(key);
-    service.waiting.erase(id);
-    const auto server = step.state.servers.find(exchange.queued_at);
-    if (server != step.state.servers.end()) {
-        server->second.queue.erase(key);
-    }
-}
-
-void erase_exchange(step& step, exchange_id id) {
-    const auto found = step.state.exchanges.find(id);
-    remove_from_queues(step, id, found->second);
-    step.state.deadlines.erase({found->second.expires_at, id});
-    step.state.exchanges.erase(found);
-}
-
-/// Ends an exchange with an answer that this instance generates, or with the stored failure of a backend server. Status
-/// 503 guarantees that the request has not run.
-void answer(step& step, exchange_id id, result_code code, std::chrono::milliseconds retry_after) {
-    const auto& exchange = step.state.exchanges.at(id);
-    int status = 503;
-    if (exchange.may_have_run) {
-        status = code == result_code::request_deadline_passed ? 504 : 502;
-    }
-    if (exchange.answer_stored) {
-        step.add(deliver_answer{id});
-    } else {
-        step.add(answer_caller{id, status, code, status == 503 ? retry_after : std::chrono::milliseconds(0)});
-    }
-    ++step.state.refused[code];
-    const auto waited =
-        std::chrono::duration_cast<std::chrono::milliseconds>(step.now - exchange.request.arrived).count();
-    step.add(log_line{true,
-                      "request_ended",
-                      {text_field("request", exchange.request.request), text_field("service", exchange.service.value()),
-                       number_field("status", status), text_field("code", std::string(base::name_of(code))),
-                       text_field("server", exchange.server.value()), number_field("attempts", exchange.attempts),
-                       number_field("may_have_run", exchange.may_have_run ? 1 : 0), number_field("waited_ms", waited),
-                       number_field("configuration", step.state.configuration.version),
-                       number_field("key", exchange.request.key ? static_cast<int>(*exchange.request.key) : -1)}});
-    erase_exchange(step, id);
-}
-
 bool take_retry_token(service_record& service) {
     if (service.retry_tokens < 1.0) {
         return false;
@@ -133,26 +76,6 @@
     return best->service;
 }
 
-void send(step& step, exchange_id id, server_record& server) {
-    auto& exchange = step.state.exchanges.at(id);
-    remove_from_queues(step, id, exchange);
-    exchange.queued_at = {};
-    exchange.phase = exchange_phase::sent;
-    exchange.server = server.registration.id;
-    exchange.attempt = model::attempt_id(++step.state.last_attempt);
-    exchange.attempt_at = step.now;
-    exchange.sending = false;
-    exchange.answer_stored = false;
-    ++exchange.attempts;
-    --exchange.attempts_left;
-    exchange.tried_servers.push_back(exchange.server);
-    ++server.outstanding;
-    step.state.load_changed = true;
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.expires_at - step.now);
-    step.add(send_request{id, exchange.attempt, exchange.server, server.registration.address,
-                          std::max(left, std::chrono::milliseconds(1)), exchange.kind == request_kind::non_idempotent});
-}
-
 /// Expected delay at a server in another data centre of a large deployment, where the load that other instances cause
 /// is not known.
 std::chrono::microseconds unknown_load_penalty(step& step, const exchange& exchange) {
@@ -218,21 +141,13 @@
     return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(ahead + 1) / rate));
 }
 
-/// Latest time for an answer, counted from the request's arrival; a request that is expected to be answered later is
-/// refused.
-std::chrono::microseconds latest_answer_time(const exchange& exchange) {
-    const auto objective = std::chrono::duration_cast<std::chrono::microseconds>(exchange.objective);
-    return std::chrono::microseconds(
-        static_cast<std::int64_t>(static_cast<double>(objective.count()) * latest_answer_share));
-}
-
 template <class Queue>
 std::size_t count_requests_ahead(const Queue& queue, const exchange& exchange, exchange_id id) {
     return static_cast<std::size_t>(
         std::distance(queue.begin(), queue.lower_bound({exchange.priority, exchange.request.arrived, id})));
 }
 
-void place_at_any_server(step& step, exchange_id id) {
+void place_without_dispatcher(step& step, exchange_id id) {
     auto& exchange = step.state.exchanges.at(id);
     auto* const server = choose_server(step, exchange);
     if (server != nullptr && take_cold_token(step.state, *server, step.now)) {
@@ -314,7 +229,12 @@
         place_at_owner(step, id);
         return;
     }
-    place_at_any_server(step, id);
+    if (exchange.phase == exchange_phase::asking) {
+        return;
+    }
+    if (!uses_dispatcher(step.state, exchange.service) || !ask_for_slot(step, id)) {
+        place_without_dispatcher(step, id);
+    }
 }
 
 /// Places the request again if its deadline, the attempt limit and the retry budget permit; false if the caller has to
@@ -399,6 +319,10 @@
     place(step, id);
 }
 
+void place_again_without_dispatcher(step& step, exchange_id id) {
+    place_without_dispatcher(step, id);
+}
+
 void cancel_exchange(step& step, exchange_id id) {
     const auto found = step.state.exchanges.find(id);
     if (found == step.state.exchanges.end()) {
@@ -444,6 +368,8 @@
         step.state.load_changed = true;
         record_outcome(step, server->second, event, elapsed);
     }
+    const auto elapsed_milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
+    release_ask(step, exchange, attempt_summary{event.outcome, event.status, elapsed_milliseconds, event.load});
     if (event.outcome == attempt_outcome::delivered) {
         ++step.state.delivered;
         step.add(
@@ -517,8 +443,9 @@
 
 void send_queued_requests(step& step) {
     auto& state = step.state;
-    const bool has_unsent = std::any_of(state.exchanges.begin(), state.exchanges.end(),
-                                        [](const auto& entry) { return entry.second.phase != exchange_phase::sent; });
+    const bool has_unsent = std::any_of(state.exchanges.begin(), state.exchanges.end(), [](const auto& entry) {
+        return entry.second.phase != exchange_phase::sent && entry.second.phase != exchange_phase::asking;
+    });
     if (!has_unsent) {
         return;
     }
--- a/source/routing/requests.hpp
+++ b/source/routing/requests.hpp
@@ -8,6 +8,8 @@
 
 /// Routes a new request and sends, queues or refuses it.
 void admit(step& step, const request_arrived& event);
+/// Sends, queues or refuses a request for which no dispatcher answers.
+void place_again_without_dispatcher(step& step, exchange_id id);
 /// Cancels the request of a caller that has disconnected.
 void cancel_exchange(step& step, exchange_id id);
 /// Records that the first byte of an attempt was written, so that the request may have run.
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <functional>
 
+#include "routing/groups.hpp"
 #include "routing/log_fields.hpp"
 
 namespace lovagetack::routing {
@@ -65,6 +66,22 @@
     return std::max(0.0, static_cast<double>(server.load.running + server.load.waiting) - served);
 }
 
+/// Takes one token of the server's cold rate, of which this instance has the given share.
+bool take_token(const state& state, server_record& server, double share, base::boot_time now) {
+    const auto settings = state.configuration.services.find(server.registration.service);
+    if (settings == state.configuration.services.end()) {
+        return false;
+    }
+    const double passed = std::chrono::duration<double>(now - server.cold_tokens_at).count();
+    server.cold_tokens = std::min(1.0, server.cold_tokens + settings->second.cold_rate * share * passed);
+    server.cold_tokens_at = now;
+    if (server.cold_tokens < 1.0) {
+        return false;
+    }
+    server.cold_tokens -= 1.0;
+    return true;
+}
+
 } // namespace
 
 void update_server(step& step, const backend_server& server) {
@@ -73,6 +90,7 @@
     auto& record = found->second;
     const bool needs_reset = is_new || !record.registered || record.registration.born != server.born;
     if (needs_reset) {
+        forget_groups(step.state);
         reset_statistics(record);
         record.registered_at = step.now;
         record.leaving_since.reset();
@@ -108,6 +126,7 @@
         return;
     }
     found->second.registered = false;
+    forget_groups(step.state);
     if (!found->second.leaving_since) {
         found->second.leaving_since = step.now;
     }
@@ -219,25 +238,13 @@
 }
 
 bool take_cold_token(const state& state, server_record& server, base::boot_time now) {
-    if (!is_cold(server, now)) {
-        return true;
-    }
-    if (!may_send_to_cold_server(state, server.registration)) {
-        return false;
-    }
-    const auto settings = state.configuration.services.find(server.registration.service);
-    if (settings == state.configuration.services.end()) {
-        return false;
-    }
-    const double rate = settings->second.cold_rate * cold_rate_share / static_cast<double>(cold_server_senders);
-    const double passed = std::chrono::duration<double>(now - server.cold_tokens_at).count();
-    server.cold_tokens = std::min(1.0, server.cold_tokens + rate * passed);
-    server.cold_tokens_at = now;
-    if (server.cold_tokens < 1.0) {
-        return false;
-    }
-    server.cold_tokens -= 1.0;
-    return true;
+    return !is_cold(server, now) ||
+           (may_send_to_cold_server(state, server.registration) &&
+            take_token(state, server, cold_rate_share / static_cast<double>(cold_server_senders), now));
+}
+
+bool take_whole_cold_token(const state& state, server_record& server, base::boot_time now) {
+    return !is_cold(server, now) || take_token(state, server, cold_rate_share, now);
 }
 
 std::chrono::microseconds expected_time(const state& state, const server_record& server, base::boot_time now) {
--- a/source/routing/servers.hpp
+++ b/source/routing/servers.hpp
@@ -36,6 +36,9 @@
 /// Whether the server can accept one more request, given the known outstanding requests of all instances.
 [[nodiscard]] bool has_room(const state& state, const server_record& server, base::boot_time now);
 
+/// Takes one token of the cold rate as the only instance that sends to the server; see take_cold_token.
+[[nodiscard]] bool take_whole_cold_token(const state& state, server_record& server, base::boot_time now);
+
 /// Takes one token of the server's cold rate; false if there is none. Always true for a server that is not cold.
 [[nodiscard]] bool take_cold_token(const state& state, server_record& server, base::boot_time now);
 
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -106,9 +107,19 @@
     std::vector<std::uint32_t> keys_for_keeper;
 };
 
+/// Backend servers of one service and data centre whose slots one dispatcher gives out.
+struct server_group {
+    model::service_id service;
+    model::data_centre_id data_centre;
+    std::uint32_t number = 0;
+    auto operator<=>(const server_group&) const = default;
+};
+
 enum class exchange_phase : std::uint8_t {
     /// Waits until a server has room.
     queued,
+    /// Waits for a dispatcher to give it a slot.
+    asking,
     /// Waits until its key has an owner that can serve it.
     waiting,
     sent,
@@ -138,6 +149,17 @@
     /// The shell holds a server's failure answer that can be sent to the caller.
     bool answer_stored = false;
     std::vector<model::backend_server_id> tried_servers;
+    /// The request for a slot, its group and its dispatcher; 0 if there is none. Kept while the slot is in use.
+    std::uint64_t ask = 0;
+    server_group group;
+    model::instance_id dispatcher;
+    /// When it was last sent to the dispatcher, and since when that has not answered; 0 if it has.
+    base::boot_time asked_again_at;
+    base::boot_time unanswered_since;
+    /// The dispatcher has put it into its queue.
+    bool ask_queued = false;
+    std::int32_t groups_asked = 0;
+    std::int32_t silent_dispatchers = 0;
     /// Server in whose queue it is; empty for the queue of the service.
     model::backend_server_id queued_at;
 };
@@ -215,10 +237,11 @@
     std::vector<renewal_status> reported;
     /// The renewer may send renewals until this time of the keeper's clock.
     base::boot_time permitted_until;
-    /// Grants, by service and fencing token, of orders that the renewer may still follow.
-    std::set<std::pair<model::service_id, std::uint64_t>> possible;
-    /// Grants that an earlier run of the renewer may have renewed until the given time.
-    std::map<std::pair<model::service_id, std::uint64_t>, base::boot_time> renewed_before;
+    /// Owners, by service, whose grants the renewer may still renew. Not by token: a new token may be replaced before
+    /// it was granted.
+    std::set<std::pair<model::service_id, model::backend_server_id>> possible;
+    /// Owners whose grants an earlier run of the renewer may have renewed until the given time.
+    std::map<std::pair<model::service_id, model::backend_server_id>, base::boot_time> renewed_before;
 };
 
 enum class keeper_phase : std::uint8_t { idle, checking, claiming, reading, holding };
@@ -292,6 +315,62 @@
     std::chrono::milliseconds store_contact{0};
 };
 
+/// Identifies a request for a slot: its instance and number.
+struct ask_id {
+    model::instance_id sender;
+    std::uint64_t ask = 0;
+    auto operator<=>(const ask_id&) const = default;
+};
+
+/// A slot in use.
+struct slot_record {
+    model::backend_server_id server;
+    std::uint64_t incarnation = 0;
+    base::boot_time granted_at;
+    base::boot_time confirmed_at;
+};
+
+/// A request in a dispatcher's queue.
+struct queued_ask {
+    slot_request request;
+    /// Until when it may wait, and when it was last sent.
+    base::boot_time until;
+    base::boot_time heard_at;
+};
+
+/// A dispatcher that is passed over until a time, longer each time that it does not answer.
+struct suspected_dispatcher {
+    base::boot_time until;
+    std::chrono::microseconds period{0};
+};
+
+/// Requests in the order in which they get slots: by priority and arrival.
+using ask_queue = std::map<std::tuple<std::int32_t, base::boot_time, ask_id>, queued_ask>;
+
+/// State of this instance as a dispatcher, and as one that asks dispatchers.
+struct dispatch_state {
+    std::map<ask_id, slot_record> slots;
+    /// Slots in use at each server.
+    std::map<model::backend_server_id, std::int32_t> used;
+    std::map<server_group, ask_queue> queues;
+
+    std::uint64_t last_ask = 0;
+    /// Exchanges by their request for a slot.
+    std::unordered_map<std::uint64_t, exchange_id> asks;
+    /// Dispatchers that did not answer.
+    std::map<model::instance_id, suspected_dispatcher> suspects;
+    base::boot_time next_report;
+    /// Dispatchers that got a report with slots; they get one more without.
+    std::set<model::instance_id> reported_to;
+    /// Chooses the group that a request asks first.
+    std::uint32_t turn = 0;
+
+    /// Groups and their number by service and data centre, found again when servers come or go.
+    bool groups_known = false;
+    std::map<server_group, std::vector<model::backend_server_id>> groups;
+    std::map<std::pair<model::service_id, model::data_centre_id>, std::uint32_t> group_counts;
+};
+
 /// Who follows the store, as this instance sees it.
 struct reader_state {
     /// This instance follows the store's tables; as a reader it passes changes on.
@@ -350,6 +429,9 @@
     keeper_state keeper;
     renewer_state renewer;
     reader_state readers;
+    dispatch_state dispatch;
+    /// In a large deployment, dispatchers give out the slots of services without keys.
+    bool uses_dispatchers = true;
     std::uint64_t last_attempt = 0;
 
     // Counters since the start, for metrics.
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -226,6 +226,49 @@
     REQUIRE_FALSE(load_exchange::decode("not a message"));
 }
 
+TEST_CASE("a change of a table is decoded as it was encoded, also if its values are long") {
+    const std::string long_value(300000, 'x');
+    const routing::table_change change{
+        routing::followed_table::registry, 40, 42, {{"i-1", 41, false, long_value}, {"i-2", 42, true, ""}}};
+    const auto bytes = load_exchange::encode(routing::table_change_received{model::instance_id("one"), change});
+    REQUIRE(bytes.size() < 10000);
+    const auto event = load_exchange::decode(QByteArray::fromStdString(bytes));
+    REQUIRE(event);
+    const auto& decoded = std::get<routing::table_change_received>(event.value());
+    REQUIRE(decoded.sender == model::instance_id("one"));
+    REQUIRE(decoded.change == change);
+}
+
+TEST_CASE("messages about slots and renewals are decoded as they were encoded") {
+    const auto decode = [](const std::string& bytes) {
+        return load_exchange::decode(QByteArray::fromStdString(bytes)).value();
+    };
+    routing::slot_release release{model::instance_id("one"), 77, 5, model::backend_server_id("i-1"), std::nullopt};
+    REQUIRE_FALSE(std::get<routing::slot_release>(decode(load_exchange::encode(release))).attempt);
+    release.attempt = {routing::attempt_outcome::cut_short, 503, std::chrono::milliseconds(70),
+                       routing::reported_load{1, 2, 3, 150}};
+    const auto released = std::get<routing::slot_release>(decode(load_exchange::encode(release)));
+    REQUIRE(released.attempt->outcome == routing::attempt_outcome::cut_short);
+    REQUIRE(released.attempt->elapsed == std::chrono::milliseconds(70));
+    REQUIRE(released.attempt->load->slowness == 150);
+    const routing::slot_answer answer{
+        model::instance_id("two"), 5, routing::slot_outcome::queued, {}, std::chrono::milliseconds(30)};
+    REQUIRE(std::get<routing::slot_answer>(decode(load_exchange::encode(answer))).outcome ==
+            routing::slot_outcome::queued);
+    routing::renewal_report report;
+    report.renewer = model::instance_id("one");
+    report.reported_at = base::boot_time(std::chrono::microseconds(123456789));
+    routing::renewal_status status;
+    status.order = {model::service_id("s"), model::backend_server_id("i-1"), 9, 256, 511, 12};
+    status.sent = std::chrono::milliseconds(0);
+    report.renewals = {status};
+    const auto reported = std::get<routing::renewal_report>(decode(load_exchange::encode(report)));
+    REQUIRE(reported.reported_at == report.reported_at);
+    REQUIRE(reported.renewals.front().order == status.order);
+    REQUIRE(reported.renewals.front().sent);
+    REQUIRE_FALSE(reported.renewals.front().accepted);
+}
+
 TEST_CASE("a change of an assignment is decoded as it was encoded") {
     routing::key_range range{256, 511, model::backend_server_id("i-2"), 9, 12, model::backend_server_id("i-1"), 8, 11};
     const routing::assignment_changed change{model::service_id("s"), 40, 42, 13, model::instance_id("one"), {range}};
--- a/tests/routing/deployment.hpp
+++ b/tests/routing/deployment.hpp
@@ -116,6 +116,11 @@
     void execute(int instance, const send_known_changes& /*effect*/) { (void)instance; }
     void execute(int instance, const apply_table_change& /*effect*/) { (void)instance; }
     void execute(int instance, const catch_up& /*effect*/) { (void)instance; }
+    // The requests of this deployment are all for keys, whose slots no dispatcher gives out.
+    void execute(int instance, const send_slot_request& /*effect*/) { (void)instance; }
+    void execute(int instance, const send_slot_answer& /*effect*/) { (void)instance; }
+    void execute(int instance, const send_slot_release& /*effect*/) { (void)instance; }
+    void execute(int instance, const send_slot_report& /*effect*/) { (void)instance; }
     void execute(int instance, const send_change& effect);
     void execute(int instance, const send_renewal_orders& effect);
     void execute(int instance, const send_renewal_report& effect);
