routing: dispatchers give out the slots of key owners, and balance does not wait for the size

The balance of a deployment of 295 ran every 7.2 s, longer than a key stays busy. Change: a request for a key asks for a slot at the owner; each owner has a queue at its dispatcher. The periods of balance, batching and reports grow by one for each 64 instances.

--- a/source/gateway/load_exchange.cpp
+++ b/source/gateway/load_exchange.cpp
@@ -160,6 +160,7 @@
     request.service = model::service_id(message.service());
     request.data_centre = model::data_centre_id(message.data_centre());
     request.group = message.group();
+    request.server = model::backend_server_id(message.server());
     request.priority = message.priority();
     request.age = std::chrono::milliseconds(message.age_ms());
     request.patience = std::chrono::milliseconds(message.patience_ms());
@@ -465,6 +466,7 @@
     message.set_service(request.service.value());
     message.set_data_centre(request.data_centre.value());
     message.set_group(request.group);
+    message.set_server(request.server.value());
     message.set_priority(request.priority);
     message.set_age_ms(static_cast<std::uint32_t>(request.age.count()));
     message.set_patience_ms(static_cast<std::uint32_t>(request.patience.count()));
--- a/source/routing/asking.cpp
+++ b/source/routing/asking.cpp
@@ -61,6 +61,7 @@
     request.service = exchange.service;
     request.data_centre = exchange.group.data_centre;
     request.group = exchange.group.number;
+    request.server = exchange.wanted_server;
     request.priority = exchange.priority;
     request.age = in_whole_milliseconds(step.now - exchange.request.arrived);
     request.patience = in_whole_milliseconds(patience_of(step, exchange));
@@ -89,7 +90,11 @@
 void ask_next(step& step, exchange_id id, std::chrono::milliseconds wait) {
     auto& exchange = step.state.exchanges.at(id);
     exchange.phase = exchange_phase::queued;
-    while (const auto group = next_group(step, exchange)) {
+    while (exchange.wanted_server.empty()) {
+        const auto group = next_group(step, exchange);
+        if (!group) {
+            break;
+        }
         ++exchange.groups_asked;
         exchange.group = *group;
         if (ask_group(step, id)) {
@@ -116,7 +121,7 @@
     exchange.phase = exchange_phase::queued;
     ++exchange.silent_dispatchers;
     if (exchange.silent_dispatchers > most_silent_dispatchers || !ask_group(step, id)) {
-        place_again_without_dispatcher(step, id);
+        place_without_dispatcher(step, id);
     }
 }
 
@@ -173,14 +178,23 @@
 
 } // namespace
 
-bool uses_dispatcher(const state& state, const model::service_id& service) {
-    return state.uses_dispatchers && state.instances.size() > small_deployment && !divided_by_key(state, service);
+bool uses_dispatchers(const state& state) {
+    return state.uses_dispatchers && state.instances.size() > small_deployment;
+}
+
+bool ask_for_slot_at(step& step, exchange_id id, const server_record& server) {
+    auto& exchange = step.state.exchanges.at(id);
+    exchange.silent_dispatchers = 0;
+    exchange.wanted_server = server.registration.id;
+    exchange.group = group_of(step.state, server.registration);
+    return ask_group(step, id);
 }
 
 bool ask_for_slot(step& step, exchange_id id) {
     auto& exchange = step.state.exchanges.at(id);
     exchange.groups_asked = 0;
     exchange.silent_dispatchers = 0;
+    exchange.wanted_server = {};
     const auto group = next_group(step, exchange);
     if (!group) {
         return false;
@@ -219,13 +233,21 @@
         return;
     }
     const auto server = state.servers.find(event.server);
-    if (server != state.servers.end() && takes_new_work(state, server->second, step.now)) {
+    const bool known = server != state.servers.end();
+    if (known && (exchange.wanted_server.empty() ? takes_new_work(state, server->second, step.now)
+                                                 : owns_key(step, exchange, server->second))) {
         send(step, id, server->second);
         return;
     }
-    // This instance knows of the server's leaving or of a failure, the dispatcher does not yet.
     exchange.server = event.server;
     release_ask(step, exchange, std::nullopt);
+    if (!exchange.wanted_server.empty()) {
+        // The key has another owner by now.
+        exchange.phase = exchange_phase::queued;
+        place(step, id);
+        return;
+    }
+    // This instance knows of the server's leaving or of a failure, the dispatcher does not yet.
     exchange.tried_servers.push_back(event.server);
     ask_next(step, id, std::chrono::milliseconds(0));
 }
--- a/source/routing/dispatching.cpp
+++ b/source/routing/dispatching.cpp
@@ -16,8 +16,28 @@
 /// servers slow down when they are nearly full.
 constexpr double busy_slot_share = 0.25;
 
-server_group group_of_request(const slot_request& request) {
-    return {request.service, request.data_centre, request.group};
+/// A group, and the server if the queue is for one.
+using ask_queue_id = std::pair<server_group, model::backend_server_id>;
+
+ask_queue_id queue_of(const slot_request& request) {
+    return {{request.service, request.data_centre, request.group}, request.server};
+}
+
+/// The servers that the requests of a queue can get.
+std::vector<model::backend_server_id> servers_of_queue(step& step, const ask_queue_id& queue) {
+    if (queue.second.empty()) {
+        return servers_of(step.state, queue.first);
+    }
+    return step.state.servers.contains(queue.second) ? std::vector{queue.second}
+                                                     : std::vector<model::backend_server_id>();
+}
+
+/// Whether the server gets requests of this kind: a leaving one still serves its keys for some time.
+bool takes(const step& step, const server_record& server, const ask_queue_id& queue) {
+    if (queue.second.empty()) {
+        return takes_new_work(step.state, server, step.now);
+    }
+    return server.paused_until <= step.now && serves_own_keys(step.state, server, step.now);
 }
 
 std::int32_t used_slots(const state& state, const model::backend_server_id& server) {
@@ -54,11 +74,11 @@
 server_record* choose_free_server(step& step, const slot_request& request) {
     server_record* best = nullptr;
     double best_time = 0;
-    for (const auto& id : servers_of(step.state, group_of_request(request))) {
+    const auto queue = queue_of(request);
+    for (const auto& id : servers_of_queue(step, queue)) {
         auto& server = step.state.servers.at(id);
         const bool excluded = std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
-        if (excluded || !takes_new_work(step.state, server, step.now) ||
-            used_slots(step.state, id) >= server.registration.slots) {
+        if (excluded || !takes(step, server, queue) || used_slots(step.state, id) >= server.registration.slots) {
             continue;
         }
         const double jitter = 0.95 + static_cast<double>(step.state.random() % 1000) / 10000.0;
@@ -78,13 +98,13 @@
     return best;
 }
 
-/// Expected time until the slot for a request is free that has `ahead` requests before it; nothing if no server of the
-/// group takes requests.
-std::optional<std::chrono::microseconds> expected_wait(step& step, const server_group& group, std::size_t ahead) {
+/// Expected time until the slot for a request is free that has `ahead` requests before it; nothing if no server takes
+/// requests.
+std::optional<std::chrono::microseconds> expected_wait(step& step, const ask_queue_id& queue, std::size_t ahead) {
     double rate = 0;
-    for (const auto& id : servers_of(step.state, group)) {
+    for (const auto& id : servers_of_queue(step, queue)) {
         const auto& server = step.state.servers.at(id);
-        if (takes_new_work(step.state, server, step.now) && !is_cold(server, step.now)) {
+        if (takes(step, server, queue) && !is_cold(server, step.now)) {
             rate += server.registration.slots / static_cast<double>(usual_time(step.state, server).count());
         }
     }
@@ -109,9 +129,9 @@
     return true;
 }
 
-/// Gives the free slots of the group to the requests that wait for it.
-void serve_queue(step& step, const server_group& group) {
-    const auto found = step.state.dispatch.queues.find(group);
+/// Gives free slots to the requests of the queue.
+void serve_queue(step& step, const ask_queue_id& id) {
+    const auto found = step.state.dispatch.queues.find(id);
     if (found == step.state.dispatch.queues.end()) {
         return;
     }
@@ -133,13 +153,13 @@
 }
 
 void remove_from_queue(step& step, const ask_id& id) {
-    for (auto& [group, queue] : step.state.dispatch.queues) {
+    for (auto& [queue_id, queue] : step.state.dispatch.queues) {
         std::erase_if(queue, [&id](const auto& entry) { return std::get<2>(entry.first) == id; });
     }
 }
 
 void drop_old_asks(step& step) {
-    for (auto& [group, queue] : step.state.dispatch.queues) {
+    for (auto& [queue_id, queue] : step.state.dispatch.queues) {
         for (auto at = queue.begin(); at != queue.end();) {
             const auto& waiting = at->second;
             if (step.now <= waiting.until && step.now - waiting.heard_at <= queue_expiry) {
@@ -147,7 +167,7 @@
                 continue;
             }
             if (step.now > waiting.until) {
-                const auto wait = expected_wait(step, group, queue.size()).value_or(std::chrono::microseconds(0));
+                const auto wait = expected_wait(step, queue_id, queue.size()).value_or(std::chrono::microseconds(0));
                 reply(step, waiting.request, slot_outcome::refused, {},
                       std::chrono::duration_cast<std::chrono::milliseconds>(wait));
             }
@@ -169,8 +189,8 @@
         reply(step, event, slot_outcome::granted, slot->second.server, std::chrono::milliseconds(0));
         return;
     }
-    const auto group = group_of_request(event);
-    auto& queue = dispatch.queues[group];
+    const auto queue_id = queue_of(event);
+    auto& queue = dispatch.queues[queue_id];
     const auto known =
         std::find_if(queue.begin(), queue.end(), [&id](const auto& entry) { return std::get<2>(entry.first) == id; });
     if (known != queue.end()) {
@@ -183,11 +203,11 @@
     const bool first = ahead == 0;
     if (first && grant(step, event)) {
         if (queue.empty()) {
-            dispatch.queues.erase(group);
+            dispatch.queues.erase(queue_id);
         }
         return;
     }
-    const auto wait = expected_wait(step, group, ahead);
+    const auto wait = expected_wait(step, queue_id, ahead);
     if (!wait || *wait > event.patience * queue_acceptance_percent / 100) {
         const auto told =
             std::chrono::duration_cast<std::chrono::milliseconds>(wait.value_or(std::chrono::microseconds(0)));
@@ -197,7 +217,7 @@
         reply(step, event, slot_outcome::queued, {}, std::chrono::milliseconds(0));
     }
     if (queue.empty()) {
-        dispatch.queues.erase(group);
+        dispatch.queues.erase(queue_id);
     }
 }
 
@@ -219,7 +239,9 @@
         record_outcome(step, server->second, {0, {}, attempt.outcome, attempt.status, false, attempt.load},
                        attempt.elapsed);
     }
-    serve_queue(step, group_of(step.state, server->second.registration));
+    const auto group = group_of(step.state, server->second.registration);
+    serve_queue(step, {group, server->first});
+    serve_queue(step, {group, {}});
 }
 
 void note_slot_report(step& step, const slot_report& event) {
@@ -258,12 +280,12 @@
         at = next;
     }
     drop_old_asks(step);
-    std::vector<server_group> groups;
-    for (const auto& [group, queue] : dispatch.queues) {
-        groups.push_back(group);
+    std::vector<ask_queue_id> queues;
+    for (const auto& [id, queue] : dispatch.queues) {
+        queues.push_back(id);
     }
-    for (const auto& group : groups) {
-        serve_queue(step, group);
+    for (const auto& id : queues) {
+        serve_queue(step, id);
     }
 }
 
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -296,7 +296,7 @@
 
 // Slots of backend servers, which one instance, the dispatcher of a group of servers, gives out for all.
 
-/// Asks a dispatcher for a slot at any server of a group. Sent again until it is answered.
+/// Asks a dispatcher for a slot at any server of a group, or at one of them. Sent again until it is answered.
 struct slot_request {
     model::instance_id sender;
     std::uint64_t incarnation = 0;
@@ -305,6 +305,8 @@
     model::service_id service;
     model::data_centre_id data_centre;
     std::uint32_t group = 0;
+    /// The only server that can run the request, if it is for a key; empty otherwise.
+    model::backend_server_id server;
     std::int32_t priority = 0;
     /// Time since the caller's request arrived.
     std::chrono::milliseconds age{0};
--- a/source/routing/keeper_plan.cpp
+++ b/source/routing/keeper_plan.cpp
@@ -150,7 +150,7 @@
 } // namespace
 
 std::int64_t size_factor(const state& state) {
-    return static_cast<std::int64_t>(1 + state.instances.size() / (small_deployment + 1));
+    return static_cast<std::int64_t>(1 + state.instances.size() / reporters_per_period);
 }
 
 void plan_all(step& step) {
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "routing/keeper.hpp"
+#include "routing/keeper_plan.hpp"
 #include "routing/servers.hpp"
 
 namespace lovagetack::routing {
@@ -115,7 +116,7 @@
         return;
     }
     // The work of the keeper grows with the instances that report to it.
-    const auto period = report_period * static_cast<std::int64_t>(1 + state.instances.size() / reporters_per_period);
+    const auto period = report_period * size_factor(state);
     if (step.now - state.reported_at < period) {
         return;
     }
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -147,7 +147,7 @@
         std::distance(queue.begin(), queue.lower_bound({exchange.priority, exchange.request.arrived, id})));
 }
 
-void place_without_dispatcher(step& step, exchange_id id) {
+void place_at_any_server(step& step, exchange_id id) {
     auto& exchange = step.state.exchanges.at(id);
     auto* const server = choose_server(step, exchange);
     if (server != nullptr && take_cold_token(step.state, *server, step.now)) {
@@ -178,7 +178,7 @@
 
 /// Sends to the owner of the key or queues there; waits while the key moves. Refuses the request if its answer would
 /// come too late or the key has no usable owner.
-void place_at_owner(step& step, exchange_id id) {
+void place_at_owner(step& step, exchange_id id, bool may_ask) {
     auto& exchange = step.state.exchanges.at(id);
     const auto* const range = find_range(service_of(step, exchange).assignment, *exchange.request.key);
     if (range == nullptr) {
@@ -203,6 +203,9 @@
         return;
     }
     auto& server = found->second;
+    if (may_ask && uses_dispatchers(step.state) && ask_for_slot_at(step, id, server)) {
+        return;
+    }
     const auto ahead = count_requests_ahead(server.queue, exchange, id);
     if (ahead == 0 && has_room(step.state, server, step.now) && take_cold_token(step.state, server, step.now)) {
         send(step, id, server);
@@ -223,20 +226,6 @@
     server.queue.insert({exchange.priority, exchange.request.arrived, id});
 }
 
-void place(step& step, exchange_id id) {
-    const auto& exchange = step.state.exchanges.at(id);
-    if (divided_by_key(step.state, exchange.service)) {
-        place_at_owner(step, id);
-        return;
-    }
-    if (exchange.phase == exchange_phase::asking) {
-        return;
-    }
-    if (!uses_dispatcher(step.state, exchange.service) || !ask_for_slot(step, id)) {
-        place_without_dispatcher(step, id);
-    }
-}
-
 /// Places the request again if its deadline, the attempt limit and the retry budget permit; false if the caller has to
 /// be answered instead. `takes_token`: charge the retry budget.
 bool retry(step& step, exchange_id id, bool takes_token) {
@@ -319,8 +308,36 @@
     place(step, id);
 }
 
-void place_again_without_dispatcher(step& step, exchange_id id) {
-    place_without_dispatcher(step, id);
+void place(step& step, exchange_id id) {
+    const auto& exchange = step.state.exchanges.at(id);
+    if (exchange.phase == exchange_phase::asking) {
+        return;
+    }
+    if (divided_by_key(step.state, exchange.service)) {
+        place_at_owner(step, id, true);
+        return;
+    }
+    if (!uses_dispatchers(step.state) || !ask_for_slot(step, id)) {
+        place_at_any_server(step, id);
+    }
+}
+
+void place_without_dispatcher(step& step, exchange_id id) {
+    if (divided_by_key(step.state, step.state.exchanges.at(id).service)) {
+        place_at_owner(step, id, false);
+        return;
+    }
+    place_at_any_server(step, id);
+}
+
+bool owns_key(const step& step, const exchange& exchange, const server_record& server) {
+    const auto service = step.state.services.find(exchange.service);
+    if (service == step.state.services.end() || !exchange.request.key) {
+        return false;
+    }
+    const auto* const range = find_range(service->second.assignment, *exchange.request.key);
+    return range != nullptr && !range->moving() && range->owner == server.registration.id &&
+           range->owner_born == server.registration.born && serves_own_keys(step.state, server, step.now);
 }
 
 void cancel_exchange(step& step, exchange_id id) {
--- a/source/routing/requests.hpp
+++ b/source/routing/requests.hpp
@@ -8,8 +8,12 @@
 
 /// Routes a new request and sends, queues or refuses it.
 void admit(step& step, const request_arrived& event);
-/// Sends, queues or refuses a request for which no dispatcher answers.
-void place_again_without_dispatcher(step& step, exchange_id id);
+/// Sends, queues or refuses a request, or asks a dispatcher for a slot.
+void place(step& step, exchange_id id);
+/// The same without a dispatcher, if none answers.
+void place_without_dispatcher(step& step, exchange_id id);
+/// Whether the server owns the key of the request and may serve it.
+[[nodiscard]] bool owns_key(const step& step, const exchange& exchange, const server_record& server);
 /// Cancels the request of a caller that has disconnected.
 void cancel_exchange(step& step, exchange_id id);
 /// Records that the first byte of an attempt was written, so that the request may have run.
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -152,6 +152,8 @@
     /// The request for a slot, its group and its dispatcher; 0 if there is none. Kept while the slot is in use.
     std::uint64_t ask = 0;
     server_group group;
+    /// The only server that is asked for; empty for any.
+    model::backend_server_id wanted_server;
     model::instance_id dispatcher;
     /// When it was last sent to the dispatcher, and since when that has not answered; 0 if it has.
     base::boot_time asked_again_at;
@@ -352,7 +354,8 @@
     std::map<ask_id, slot_record> slots;
     /// Slots in use at each server.
     std::map<model::backend_server_id, std::int32_t> used;
-    std::map<server_group, ask_queue> queues;
+    /// Requests for any server of a group, and, with the name of the server, for one.
+    std::map<std::pair<server_group, model::backend_server_id>, ask_queue> queues;
 
     std::uint64_t last_ask = 0;
     /// Exchanges by their request for a slot.
@@ -430,7 +433,7 @@
     renewer_state renewer;
     reader_state readers;
     dispatch_state dispatch;
-    /// In a large deployment, dispatchers give out the slots of services without keys.
+    /// In a large deployment, dispatchers give out the slots of backend servers.
     bool uses_dispatchers = true;
     std::uint64_t last_attempt = 0;
 
