shutdown, servers in trouble: late requests are refused, bytes without end are bounded

(2) an answer that is not delivered as it arrives, since it has no signature or is a failure, was collected without a limit until the request's deadline. Changes: requests that arrive more than 2.8 s after the start of a shutdown get 503 with Retry-After; such an answer ends the attempt after 1 MB and its connection is closed. Metrics and lines say which reader, versions, renewals and slots an instance has.

--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -93,8 +93,14 @@
 void attempt::answer_body(std::string_view bytes) {
     if (!forwarding_) {
         answer_.body.append(bytes);
-        if (answer_.body.size() <= buffered_bytes_limit ||
-            outcome_if_complete() != routing::attempt_outcome::delivered) {
+        const bool delivers = outcome_if_complete() == routing::attempt_outcome::delivered;
+        if (!delivers && answer_.body.size() > stored_bytes_limit) {
+            // Bytes that are no answer may come without end.
+            connection_->abort();
+            end(routing::attempt_outcome::invalid_answer);
+            return;
+        }
+        if (answer_.body.size() <= buffered_bytes_limit || !delivers) {
             return;
         }
         start_forwarding();
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -76,6 +76,9 @@
     /// Length of body, in bytes, up to which an answer is buffered until it is complete.
     static constexpr std::size_t buffered_bytes_limit = std::size_t(32) * 1024;
 
+    /// Length of body, in bytes, up to which an answer that is not delivered as it arrives is kept.
+    static constexpr std::size_t stored_bytes_limit = std::size_t(1024) * 1024;
+
 private:
     void connection_ready(const std::shared_ptr<http::client_connection>& connection) override;
     void connection_failed() override;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -5,7 +5,9 @@
 #include <variant>
 
 #include "base/unix_time.hpp"
+#include "routing/dispatching.hpp"
 #include "routing/limits.hpp"
+#include "routing/readers.hpp"
 #include "routing/reduce.hpp"
 #include "routing/table_copy.hpp"
 
@@ -201,6 +203,8 @@
                {"retries", std::to_string(state_.retries)},
                {"open", std::to_string(state_.exchanges.size())},
                {"configuration", std::to_string(state_.configuration.version)},
+               {"registry", std::to_string(routing::table_version(state_, routing::followed_table::registry))},
+               {"reader", routing::nearest_reader(state_).value()},
                {"instances_heard", std::to_string(state_.peers.size())},
                {"store_calls", std::to_string(store_->counters().calls)},
                {"store_failures", std::to_string(store_->counters().failures)}});
@@ -221,6 +225,14 @@
     gauge("lovagetack_configuration_version", {}, state_.configuration.version);
     gauge("lovagetack_ready", {}, routing::is_ready(state_) ? 1 : 0);
     gauge("lovagetack_keeper", {}, state_.keeper.phase == routing::keeper_phase::holding ? 1 : 0);
+    gauge("lovagetack_reader", {}, state_.readers.reads ? 1 : 0);
+    gauge("lovagetack_renewals", {}, state_.renewer.renewals.size());
+    gauge("lovagetack_dispatched_slots", {}, state_.dispatch.slots.size());
+    gauge("lovagetack_dispatcher_queue", {}, routing::queued_asks(state_));
+    for (const auto table : routing::followed_tables) {
+        gauge("lovagetack_table_version", {{"table", std::string(routing::name_of(table))}},
+              routing::table_version(state_, table));
+    }
     gauge("lovagetack_store_reachable", {}, state_.store_reachable ? 1 : 0);
     gauge("lovagetack_store_calls_total", {}, store_->counters().calls);
     gauge("lovagetack_store_failures_total", {}, store_->counters().failures);
--- a/source/routing/dispatching.cpp
+++ b/source/routing/dispatching.cpp
@@ -270,6 +270,14 @@
     }
 }
 
+std::size_t queued_asks(const state& state) {
+    std::size_t count = 0;
+    for (const auto& [id, queue] : state.dispatch.queues) {
+        count += queue.size();
+    }
+    return count;
+}
+
 void run_dispatcher(step& step) {
     auto& dispatch = step.state.dispatch;
     for (auto at = dispatch.slots.begin(); at != dispatch.slots.end();) {
--- a/source/routing/dispatching.hpp
+++ b/source/routing/dispatching.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 #include "routing/step.hpp"
 
 namespace lovagetack::routing {
@@ -21,6 +23,9 @@
 void release_slot(step& step, const slot_release& event);
 void note_slot_report(step& step, const slot_report& event);
 
+/// Number of requests that wait for a slot at this instance.
+[[nodiscard]] std::size_t queued_asks(const state& state);
+
 /// Gives out slots that have become free, and drops requests and slots of instances that are gone.
 void run_dispatcher(step& step);
 
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -46,6 +46,10 @@
 /// Most ranges in one message about a change; a larger change is sent in parts.
 inline constexpr std::size_t ranges_per_message = 120;
 
+/// Requests that arrive later than this after the start of a shutdown are refused: they may last longer than the rest
+/// of the grace period.
+inline constexpr std::chrono::microseconds admission_after_stop = 2800ms;
+
 /// Pause in new work for a backend server after it was full.
 inline constexpr std::chrono::microseconds full_server_pause = 60ms;
 /// Pause after a failed connection; doubles with each consecutive failure up to the longest pause.
--- a/source/routing/readers.cpp
+++ b/source/routing/readers.cpp
@@ -21,18 +21,6 @@
     return static_cast<std::size_t>(table);
 }
 
-std::string_view name_of(followed_table table) {
-    switch (table) {
-    case followed_table::operators:
-        return "operators";
-    case followed_table::registry:
-        return "registry";
-    case followed_table::instances:
-        return "instances";
-    }
-    return "";
-}
-
 /// Instances with more processor time come first, ties are ordered by hash.
 void rank_instances(state& state) {
     auto& ranks = state.readers.ranks;
@@ -184,6 +172,37 @@
 
 } // namespace
 
+std::string_view name_of(followed_table table) {
+    switch (table) {
+    case followed_table::operators:
+        return "operators";
+    case followed_table::registry:
+        return "registry";
+    case followed_table::instances:
+        return "instances";
+    }
+    return "";
+}
+
+std::uint64_t table_version(const state& state, followed_table table) {
+    return state.readers.versions.at(index_of(table));
+}
+
+model::instance_id nearest_reader(const state& state) {
+    if (state.readers.reads) {
+        return state.self.instance;
+    }
+    model::instance_id nearest;
+    base::boot_time heard_at;
+    for (const auto& [id, reader] : state.readers.heard) {
+        if (reader.reads && reader.data_centre == state.self.data_centre && reader.heard_at > heard_at) {
+            nearest = id;
+            heard_at = reader.heard_at;
+        }
+    }
+    return nearest;
+}
+
 void note_table(step& step, const table_updated& event) {
     auto& state = step.state;
     state.readers.versions.at(index_of(event.news.table)) = event.version;
@@ -221,7 +240,7 @@
     if (!usable) {
         return;
     }
-    for (const auto table : {followed_table::operators, followed_table::registry, followed_table::instances}) {
+    for (const auto table : followed_tables) {
         close_gap(step, table, event.tables.at(index_of(table)), event.instance);
     }
     for (const auto& [service, version] : event.assignments) {
--- a/source/routing/readers.hpp
+++ b/source/routing/readers.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstdint>
+#include <string_view>
+
 #include "routing/step.hpp"
 
 namespace lovagetack::routing {
@@ -11,6 +14,14 @@
 // of the others. Its heartbeats carry the versions of its tables, by which the others notice a missed change. An
 // instance that hears no reader that reaches the store follows the tables itself. Two readers at once do no harm.
 
+[[nodiscard]] std::string_view name_of(followed_table table);
+
+/// Version of the own copy of a table.
+[[nodiscard]] std::uint64_t table_version(const state& state, followed_table table);
+
+/// The reader of the own data centre that was heard last; this instance if it is a reader, empty if there is none.
+[[nodiscard]] model::instance_id nearest_reader(const state& state);
+
 void note_table(step& step, const table_updated& event);
 void note_heartbeat(step& step, const reader_heartbeat& event);
 void receive_table_change(step& step, const table_change_received& event);
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -184,6 +184,7 @@
 
 void on(step& step, const shutdown_begun& /*event*/) {
     step.state.shutting_down = true;
+    step.state.shutdown_begun_at = step.now;
 }
 
 /// These events are frequent, and the keeper does not have to act on them before the next tick.
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -264,7 +264,8 @@
     const auto id = event.exchange;
     auto& exchange = state.exchanges[id];
     exchange.request = event;
-    if (state.configuration.version == 0) {
+    const bool too_late = state.shutting_down && step.now - state.shutdown_begun_at > admission_after_stop;
+    if (state.configuration.version == 0 || too_late) {
         exchange.expires_at = step.now;
         answer(step, id, result_code::instance_not_ready, spread_retry_after(step));
         return;
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -399,6 +399,7 @@
     identity self;
     std::mt19937_64 random;
     bool shutting_down = false;
+    base::boot_time shutdown_begun_at;
     bool registry_known = false;
     bool assignments_known = false;
 
--- a/source/routing/table_change.hpp
+++ b/source/routing/table_change.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -10,6 +11,8 @@
 /// Tables of the store that the instances of a large deployment pass on to each other.
 enum class followed_table : std::uint8_t { operators, registry, instances };
 inline constexpr std::size_t followed_table_count = 3;
+inline constexpr std::array<followed_table, followed_table_count> followed_tables = {
+    followed_table::operators, followed_table::registry, followed_table::instances};
 
 /// One row as it stands in the store. The value is in the platform's form.
 struct table_row {
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -109,6 +109,33 @@
     }
 }
 
+// Guards against memory that grows while a server in trouble sends bytes without end.
+TEST_CASE("bytes without end that are no answer end the attempt, and nothing of them reaches the caller") {
+    fixture test;
+    test.send_caller_request();
+    auto& server = test.server->connection(0);
+    std::string head;
+    SECTION("in a head") {
+        head = "HTTP/1.1 200 OK\r\nX-Filler: ";
+    }
+    SECTION("in a body without a signature") {
+        head = "HTTP/1.1 200 OK\r\nLovagetack-Request-Id: abc\r\n\r\n";
+    }
+    SECTION("in the body of a signed failure") {
+        head = "HTTP/1.1 500 Internal Server Error\r\nLovagetack-Request-Id: abc\r\n"
+               "Lovagetack-Response-Signature: s\r\n\r\n";
+    }
+    server.send(head);
+    const std::string piece(64 * 1024, 'x');
+    for (int sent = 0; sent < 256 && test.ended() == nullptr; ++sent) {
+        server.send(piece);
+        test::settle();
+    }
+    REQUIRE(test.ended() != nullptr);
+    REQUIRE(test.outcome() == attempt_outcome::invalid_answer);
+    REQUIRE(test.caller->received().empty());
+}
+
 TEST_CASE("an answer to an earlier request is skipped") {
     fixture test;
     test.send_caller_request();
--- a/tests/routing/requests_test.cpp
+++ b/tests/routing/requests_test.cpp
@@ -264,6 +264,19 @@
     REQUIRE(instance.state().configuration.version == 3);
 }
 
+// Guards against a request that was just accepted and is cut off at the end of the grace period.
+TEST_CASE("a request that arrives late in a shutdown is refused as not run") {
+    instance instance(2);
+    instance.process_event(shutdown_begun{});
+    instance.advance_time(2000ms);
+    REQUIRE(instance.sent(instance.request("/pay/1")).size() == 1);
+    instance.advance_time(1000ms);
+    const auto late = instance.request("/pay/2");
+    REQUIRE(instance.sent(late).empty());
+    REQUIRE(instance.answers(late).front().status == 503);
+    REQUIRE(instance.answers(late).front().retry_after > 0ms);
+}
+
 TEST_CASE("a draining server gets no new requests") {
     instance instance(2);
     auto leaving = server_of("book-0", unkeyed_service);
