--- a/source/routing/keeper_plan.cpp
+++ b/source/routing/keeper_plan.cpp
@@ -17,7 +17,7 @@
     std::vector<candidate> cold;
     double usual = 0;
     for (const auto& [id, server] : step.state.servers) {
-        if (server.registration.service != service || is_lost(step, id) || server.failures_in_row > 2) {
+        if (server.registration.service != service || is_lost(step, id) || is_unreachable(server, step.now)) {
             continue;
         }
         if (may_own(step.state, server, step.now)) {
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -55,6 +55,8 @@
 /// Pause after a failed connection; doubles with each consecutive failure up to the longest pause.
 inline constexpr std::chrono::microseconds unreachable_pause = 100ms;
 inline constexpr std::chrono::microseconds longest_pause = 1600ms;
+/// After more failed connections in a row, requests for the server's keys are refused until its pause has ended.
+inline constexpr std::int32_t most_failed_connections = 2;
 /// A server that fails requests is tried again after this time.
 inline constexpr std::chrono::microseconds failing_pause = 400ms;
 
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -198,7 +198,7 @@
         wait_for_owner(step, id);
         return;
     }
-    if (!known || !serves_own_keys(step.state, found->second, step.now) || found->second.failures_in_row > 2) {
+    if (!known || !serves_own_keys(step.state, found->second, step.now) || is_unreachable(found->second, step.now)) {
         answer(step, id, result_code::ownership_no_owner, spread_retry_after(step));
         return;
     }
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -203,6 +203,10 @@
     return server.cold_until > now;
 }
 
+bool is_unreachable(const server_record& server, base::boot_time now) {
+    return server.failures_in_row > most_failed_connections && server.paused_until > now;
+}
+
 bool may_own(const state& state, const server_record& server, base::boot_time now) {
     return server.registered && !server.leaving_since && !state.evacuated.contains(server.registration.data_centre) &&
            !is_cold(server, now);
--- a/source/routing/servers.hpp
+++ b/source/routing/servers.hpp
@@ -27,6 +27,9 @@
 /// Whether the server may own keys: registered, not leaving, not evacuated and not cold.
 [[nodiscard]] bool may_own(const state& state, const server_record& server, base::boot_time now);
 
+/// Whether several connections to the server failed in a row and it is not yet to be tried again.
+[[nodiscard]] bool is_unreachable(const server_record& server, base::boot_time now);
+
 /// Whether the server may get a request that any server of the service can handle.
 [[nodiscard]] bool takes_new_work(const state& state, const server_record& server, base::boot_time now);
 
--- a/tests/routing/requests_test.cpp
+++ b/tests/routing/requests_test.cpp
@@ -264,6 +264,24 @@
     REQUIRE(instance.state().configuration.version == 3);
 }
 
+// Guards against an instance that was cut off and refuses the keys of all servers that it could not reach meanwhile,
+// until they restart.
+TEST_CASE("an owner that could not be reached is tried again after a pause") {
+    instance instance(2);
+    for (int number = 0; number < 6; ++number) {
+        const auto id = instance.request("/look/1");
+        instance.advance_time(200ms);
+        if (!instance.sent(id).empty() && instance.answers(id).empty()) {
+            instance.end(id, attempt_outcome::not_connected);
+        }
+        instance.advance_time(400ms);
+    }
+    REQUIRE(instance.state().servers.at(model::backend_server_id("board-0")).failures_in_row > 2);
+    REQUIRE_FALSE(instance.answers(instance.request("/look/1")).empty());
+    instance.advance_time(2000ms);
+    REQUIRE(instance.sent(instance.request("/look/1")).size() == 1);
+}
+
 // Guards against a request that was just accepted and is cut off at the end of the grace period.
 TEST_CASE("a request that arrives late in a shutdown is refused as not run") {
     instance instance(2);
