--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -126,7 +126,7 @@
                "Lovagetack-Response-Signature: s\r\n\r\n";
     }
     server.send(head);
-    const std::string piece(64 * 1024, 'x');
+    const std::string piece(std::size_t(64) * 1024, 'x');
     for (int sent = 0; sent < 256 && test.ended() == nullptr; ++sent) {
         server.send(piece);
         test::settle();
