--- a/tests/routing/ownership_test.cpp
+++ b/tests/routing/ownership_test.cpp
@@ -274,7 +274,7 @@
         REQUIRE(sent(instance) <= owners_per_renewer * 10);
         all += sent(instance);
     }
-    REQUIRE(all >= 64 * 9);
+    REQUIRE(all >= std::uint64_t(64) * 9);
     require_single_ownership(deployment);
 }
 
