--- a/source/routing/assignment_rows.hpp
+++ b/source/routing/assignment_rows.hpp
@@ -35,8 +35,9 @@
     /// Takes over a row of the store, unless it is known in this or a newer version.
     void learn(const assignment_row& row, std::uint64_t version);
 
-    /// The assignment and the version of its head; nothing while rows are missing or cannot be read.
+    /// The assignment; nothing while rows are missing or cannot be read.
     [[nodiscard]] std::optional<assignment> joined() const;
+    /// Version of the head.
     [[nodiscard]] std::uint64_t version() const { return head_.version; }
     /// Whether the head lists parts.
     [[nodiscard]] bool divided() const { return !listed_parts().empty(); }
--- a/source/routing/delegation.cpp
+++ b/source/routing/delegation.cpp
@@ -1,7 +1,6 @@
 #include "routing/delegation.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "routing/duty.hpp"
@@ -126,15 +125,19 @@
     step.add(send_renewal_orders{id, std::move(orders)});
 }
 
+void add_ordered_owners(delegate_record& delegate) {
+    for (const auto& order : delegate.orders) {
+        delegate.possible.insert({order.service, order.server});
+    }
+}
+
 void update_orders(step& step, const model::instance_id& id, delegate_record& delegate,
                    std::vector<renewal_order> orders) {
     const bool changed = delegate.sequence == 0 || orders != delegate.orders;
     if (changed) {
         delegate.orders = std::move(orders);
         delegate.sequence = ++step.state.keeper.order_sequence;
-        for (const auto& order : delegate.orders) {
-            delegate.possible.insert({order.service, order.server});
-        }
+        add_ordered_owners(delegate);
     }
     const auto period = delegate.confirmed_sequence == delegate.sequence ? renewal_orders_period : renewal_orders_retry;
     if (changed || step.now - delegate.sent_at >= period) {
@@ -228,9 +231,7 @@
     delegate.reported = event.renewals;
     if (delegate.confirmed_sequence == delegate.sequence) {
         delegate.possible.clear();
-        for (const auto& order : delegate.orders) {
-            delegate.possible.insert({order.service, order.server});
-        }
+        add_ordered_owners(delegate);
         for (const auto& status : event.renewals) {
             delegate.possible.insert({status.order.service, status.order.server});
         }
--- a/source/routing/dispatching.cpp
+++ b/source/routing/dispatching.cpp
@@ -6,7 +6,6 @@
 
 #include "routing/groups.hpp"
 #include "routing/limits.hpp"
-#include "routing/log_fields.hpp"
 #include "routing/servers.hpp"
 
 namespace lovagetack::routing {
--- a/source/routing/keeper_plan.hpp
+++ b/source/routing/keeper_plan.hpp
@@ -8,8 +8,8 @@
 
 // Plans changes of the assignments.
 
-/// Factor on the periods between changes. All instances read every change of an assignment, so changes are rarer in a
-/// large deployment.
+/// Factor on the periods between changes and between reports: the work of a plan and of its messages grows with the
+/// deployment.
 [[nodiscard]] std::int64_t size_factor(const state& state);
 
 /// Plans the moves of ranges that have to move and, less often, of load balancing, for all services.
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -104,6 +104,11 @@
     return load_period_per_square * count * count;
 }
 
+/// How long an instance may be silent before its last message is discarded.
+std::chrono::microseconds silence_limit(const state& state) {
+    return std::max(peer_timeout, load_period(state) * 3);
+}
+
 /// Sends a keeper in another data centre the load that it needs for planning.
 void report_to_keeper(step& step) {
     auto& state = step.state;
@@ -161,7 +166,7 @@
 }
 
 void remove_silent_peers(step& step) {
-    const auto timeout = std::max(peer_timeout, load_period(step.state) * 3);
+    const auto timeout = silence_limit(step.state);
     for (auto at = step.state.peers.begin(); at != step.state.peers.end();) {
         if (step.now - at->second.received_at < timeout) {
             ++at;
@@ -174,8 +179,7 @@
 
 bool is_instance_alive(const state& state, const model::instance_id& instance, base::boot_time now) {
     const auto found = state.peers.find(instance);
-    const auto timeout = std::max(peer_timeout, load_period(state) * 3);
-    return found != state.peers.end() && now - found->second.received_at < timeout;
+    return found != state.peers.end() && now - found->second.received_at < silence_limit(state);
 }
 
 void send_load_if_due(step& step) {
