routing: a lease carries the renewals of earlier holders apart from its own

Callers of two backend servers got answers for the same keys: both servers held them.

Cause: the row of the lease has one time until which grants may be renewed, for the holder and for all holders before it. A claimant that sees that the last holder has ended (a new incarnation, a lease given back at a shutdown, a message that it has stopped) drops this time as a whole. A holder before that one, cut off with its data centre, goes on renewing grants there for up to 9 s after its lease; the claimant moves keys of servers that it cannot reach after 2.6 s.

The simulation had no shutdowns and no partitions between instances before.

Change: the lease has a time of its own for the holders before the writer. What ends with the last holder ends only what is the last holder's. A keeper writes what is left of the time with each renewal of its lease, also when it gives the lease back. A row of a build without the field may be all theirs. keeper_started logs the time that is left to earlier holders.

--- a/source/routing/assignment.hpp
+++ b/source/routing/assignment.hpp
@@ -55,6 +55,8 @@
     std::int64_t until = 0;
     /// Until this time the holder, an earlier one, or an instance on their orders may renew grants.
     std::int64_t renewals_until = 0;
+    /// Until this time a holder before this one may renew grants, whatever becomes of this one.
+    std::int64_t earlier_renewals_until = 0;
     /// Other instances renew grants on the holder's orders, for up to renewer_permit after its end.
     bool delegates = false;
 };
@@ -112,11 +114,13 @@
 template <>
 struct lovagetack::base::fields_of<lovagetack::routing::keeper_lease> {
     static constexpr std::string_view name = "keeper_lease";
-    static constexpr auto list = std::make_tuple(make_field("holder", &routing::keeper_lease::holder),
-                                                 make_field("incarnation", &routing::keeper_lease::incarnation),
-                                                 make_field("until", &routing::keeper_lease::until),
-                                                 make_field("renewals_until", &routing::keeper_lease::renewals_until),
-                                                 make_field("delegates", &routing::keeper_lease::delegates));
+    static constexpr auto list =
+        std::make_tuple(make_field("holder", &routing::keeper_lease::holder),
+                        make_field("incarnation", &routing::keeper_lease::incarnation),
+                        make_field("until", &routing::keeper_lease::until),
+                        make_field("renewals_until", &routing::keeper_lease::renewals_until),
+                        make_field("earlier_renewals_until", &routing::keeper_lease::earlier_renewals_until),
+                        make_field("delegates", &routing::keeper_lease::delegates));
 };
 
 template <>
--- a/source/routing/duty.cpp
+++ b/source/routing/duty.cpp
@@ -20,13 +20,20 @@
     return cores * cores;
 }
 
+/// The time of the store's clock until which holders before this instance may renew grants.
+std::int64_t former_renewals_end(const keeper_state& keeper, base::boot_time now) {
+    const auto left = keeper.former_renewals_until - now;
+    return left.count() > 0 ? latest_store_time(keeper, now) + in_milliseconds(left) : 0;
+}
+
 keeper_lease next_lease(const step& step) {
     const auto& keeper = step.state.keeper;
     keeper_lease lease;
     lease.holder = step.state.self.instance;
     lease.incarnation = step.state.self.incarnation;
     lease.until = latest_store_time(keeper, step.now) + lease_time.count();
-    lease.renewals_until = std::max(lease.until + renewal_extension.count(), keeper.lease.renewals_until);
+    lease.earlier_renewals_until = former_renewals_end(keeper, step.now);
+    lease.renewals_until = std::max(lease.until + renewal_extension.count(), lease.earlier_renewals_until);
     lease.delegates = step.state.instances.size() > small_deployment;
     return lease;
 }
@@ -61,6 +68,11 @@
     return keeper.former_delegates ? renewer_permit : std::chrono::milliseconds(0);
 }
 
+void note_former_holder_ended(keeper_state& keeper, base::boot_time at) {
+    const auto end = std::max(keeper.earlier_renewals_until, at + renewals_after_former_holder(keeper));
+    keeper.former_renewals_until = std::min(keeper.former_renewals_until, end);
+}
+
 void note_store_time(keeper_state& keeper, std::int64_t store_time, base::boot_time asked_at, base::boot_time now) {
     keeper.store_time = store_time;
     keeper.asked_at = asked_at;
@@ -170,11 +182,14 @@
         return;
     }
     const bool former = event.instance == keeper.former_holder && event.incarnation == keeper.former_incarnation;
-    const auto end = step.now + renewals_after_former_holder(keeper);
-    if (former && !event.renews && end < keeper.former_renewals_until) {
-        // It knows of the new holder and has stopped renewing grants.
+    if (!former || event.renews) {
+        return;
+    }
+    // It knows of the new holder and has stopped renewing grants.
+    const auto before = keeper.former_renewals_until;
+    note_former_holder_ended(keeper, step.now);
+    if (keeper.former_renewals_until < before) {
         step.add(log_line{false, "former_keeper_stopped", {text_field("former", event.instance.value())}});
-        keeper.former_renewals_until = end;
     }
 }
 
@@ -187,9 +202,12 @@
     rows.expected_lease_version = keeper.lease_version;
     rows.lease.holder = step.state.self.instance;
     rows.lease.incarnation = step.state.self.incarnation;
+    rows.lease.earlier_renewals_until = former_renewals_end(keeper, step.now);
+    rows.lease.renewals_until = rows.lease.earlier_renewals_until;
     if (!keeper.delegates.empty()) {
         rows.lease.delegates = true;
-        rows.lease.renewals_until = latest_store_time(keeper, step.now) + renewer_permit.count();
+        rows.lease.renewals_until =
+            std::max(rows.lease.renewals_until, latest_store_time(keeper, step.now) + renewer_permit.count());
     }
     step.add(std::move(rows));
     step_down(step, "shutdown");
--- a/source/routing/duty.hpp
+++ b/source/routing/duty.hpp
@@ -27,6 +27,10 @@
 /// How long renewals go on after the previous holder has ended or stopped.
 [[nodiscard]] std::chrono::milliseconds renewals_after_former_holder(const keeper_state& keeper);
 
+/// The previous holder ended at `at`, at the latest: only instances on its orders, and holders before it, may still
+/// renew grants.
+void note_former_holder_ended(keeper_state& keeper, base::boot_time at);
+
 void note_store_time(keeper_state& keeper, std::int64_t store_time, base::boot_time asked_at, base::boot_time now);
 
 /// Schedules the next check of the lease by an instance that does not hold it.
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -226,19 +226,21 @@
     keeper.former_delegates = former.delegates;
     // An earlier run of this instance has ended.
     const bool former_ended = own || has_new_incarnation(step.state, former.holder, former.incarnation);
-    auto renewals_left = std::chrono::milliseconds(former.renewals_until - event.store_time);
+    const auto local_time = [&](std::int64_t store_time) {
+        const std::chrono::milliseconds left(store_time - event.store_time);
+        return left.count() > 0 ? step.now + left + clock_margin : step.now;
+    };
+    keeper.earlier_renewals_until = local_time(former.earlier_renewals_until);
+    keeper.former_renewals_until = local_time(former.renewals_until);
     if (former_ended) {
-        renewals_left = std::min(renewals_left, renewals_after_former_holder(keeper));
+        note_former_holder_ended(keeper, step.now);
     }
-    const bool renewals_ended = renewals_left.count() <= 0;
-    keeper.former_renewals_until = renewals_ended ? step.now : step.now + renewals_left + clock_margin;
     keeper.assignments_current = false;
     keeper.confirmed.clear();
     keeper.first_tokens.clear();
     keeper.started_at = step.now;
     keeper.lease_version = event.version;
     keeper.lease = {};
-    keeper.lease.renewals_until = renewals_ended ? 0 : former.renewals_until;
     keeper.phase = keeper_phase::claiming;
     keeper.changed.clear();
     write_lease(step);
@@ -264,12 +266,13 @@
             keeper.phase = keeper_phase::reading;
             keeper.term = event.version;
             keeper.order_sequence = 0;
-            step.add(
-                log_line{false,
-                         "keeper_started",
-                         {number_field("lease_version", keeper.lease_version),
-                          text_field("former", keeper.former_holder.value()),
-                          number_field("former_right_ms", in_milliseconds(keeper.former_renewals_until - step.now))}});
+            step.add(log_line{
+                false,
+                "keeper_started",
+                {number_field("lease_version", keeper.lease_version),
+                 text_field("former", keeper.former_holder.value()),
+                 number_field("former_right_ms", in_milliseconds(keeper.former_renewals_until - step.now)),
+                 number_field("earlier_right_ms", in_milliseconds(keeper.earlier_renewals_until - step.now))}});
             keeper.read_under_way = true;
             step.add(read_assignments{});
         }
@@ -318,8 +321,7 @@
     auto& keeper = step.state.keeper;
     check_pause(step);
     if (has_new_incarnation(step.state, keeper.former_holder, keeper.former_incarnation)) {
-        keeper.former_renewals_until =
-            std::min(keeper.former_renewals_until, step.now + renewals_after_former_holder(keeper));
+        note_former_holder_ended(keeper, step.now);
     }
     if (step.now - step.state.keeper_reported_at < peer_timeout && step.now >= keeper.next_check) {
         // The holder has sent a message lately, so the lease need not be read.
--- a/source/routing/lease_row.cpp
+++ b/source/routing/lease_row.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr auto holds_until = "holds_until";
+constexpr auto earlier_renewals_until = "earlier_renewals_until";
 /// A time of the store's clock, in milliseconds, that does not come. A JSON number holds it exactly.
 constexpr std::int64_t never = std::int64_t(1) << 52;
 
@@ -35,6 +36,10 @@
     if (json.contains(holds_until)) {
         lease.until = json.value(holds_until).toInteger();
     }
+    if (!json.contains(earlier_renewals_until)) {
+        // Builds without the field give one time for all holders.
+        lease.earlier_renewals_until = lease.renewals_until;
+    }
     return lease;
 }
 
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -273,6 +273,8 @@
     std::uint64_t former_incarnation = 0;
     bool former_delegates = false;
     base::boot_time former_renewals_until;
+    /// Until when a holder before the previous one may still renew grants.
+    base::boot_time earlier_renewals_until;
     /// Last call of run_keeper(), to detect pauses of this instance.
     base::boot_time last_run_at;
     /// Start of the current term.
--- a/tests/routing/assignment_rows_test.cpp
+++ b/tests/routing/assignment_rows_test.cpp
@@ -146,6 +146,7 @@
     lease.holder = model::instance_id("front-north-1");
     lease.until = 12345;
     lease.renewals_until = 21345;
+    lease.earlier_renewals_until = 17345;
     keeper_lease as_before;
     REQUIRE(base::from_json_text(lease_text(lease, true), as_before));
     REQUIRE(as_before.until > 1000000000000);
@@ -155,8 +156,15 @@
         REQUIRE(read->holder == lease.holder);
         REQUIRE(read->until == 12345);
         REQUIRE(read->renewals_until == 21345);
+        REQUIRE(read->earlier_renewals_until == 17345);
     }
     REQUIRE(lease_text(lease, false) == base::to_json_text(lease));
 }
 
+TEST_CASE("the renewals of a lease without a time for earlier holders may all be theirs") {
+    const auto read = read_lease_text(R"({"holder":"front-north-1","until":12345,"renewals_until":21345})");
+    REQUIRE(read);
+    REQUIRE(read->earlier_renewals_until == 21345);
+}
+
 } // namespace lovagetack::routing::testing
--- a/tests/routing/deployment.cpp
+++ b/tests/routing/deployment.cpp
@@ -116,7 +116,7 @@
 
 void deployment::deliver_initial_state(int instance) {
     auto& target = instances_[index(instance)];
-    if (store_down_ || !target.reaches_store) {
+    if (!store_reached_by(instance)) {
         at(200ms, [this, instance, start_number = target.start_number] {
             if (instances_[index(instance)].start_number == start_number) {
                 deliver_initial_state(instance);
@@ -152,13 +152,12 @@
 void deployment::deliver_to_all(const event& event) {
     for (int number = 0; number < instances(); ++number) {
         auto& target = instances_[index(number)];
-        if (target.runs && target.reaches_store && !store_down_) {
+        if (target.runs && store_reached_by(number)) {
             deliver(number, target.start_number, store_delay + network_delay, event);
         } else if (target.runs) {
             // Delivered when the store answers again.
             at(300ms, [this, number, start_number = target.start_number, event] {
-                if (instances_[index(number)].start_number == start_number && instances_[index(number)].reaches_store &&
-                    !store_down_) {
+                if (instances_[index(number)].start_number == start_number && store_reached_by(number)) {
                     deliver(number, start_number, store_delay, event);
                 }
             });
@@ -182,6 +181,59 @@
     }
 }
 
+void deployment::shut_down(int instance, std::chrono::microseconds grace) {
+    const int start_number = instances_[index(instance)].start_number;
+    deliver(instance, start_number, 0ms, shutdown_begun{});
+    at(grace, [this, instance, start_number] {
+        if (instances_[index(instance)].start_number == start_number) {
+            kill(instance);
+        }
+    });
+}
+
+void deployment::set_isolated(int instance, bool isolated) {
+    auto& target = instances_[index(instance)];
+    target.isolated = isolated;
+    if (!isolated && target.runs) {
+        deliver_initial_state(instance);
+    }
+}
+
+void deployment::set_data_centre_cut(int data_centre, bool cut) {
+    const model::data_centre_id id(data_centres.at(index(data_centre)));
+    if (cut) {
+        cut_data_centres_.insert(id);
+        return;
+    }
+    cut_data_centres_.erase(id);
+    for (int number = 0; number < instances(); ++number) {
+        if (instances_[index(number)].runs && instances_[index(number)].state->self.data_centre == id) {
+            deliver_initial_state(number);
+        }
+    }
+}
+
+bool deployment::store_reached_by(int instance) const {
+    const auto& target = instances_[index(instance)];
+    return !store_down_ && target.reaches_store && !target.isolated &&
+           !cut_data_centres_.contains(target.state->self.data_centre);
+}
+
+bool deployment::are_connected(int left, int right) const {
+    const auto& one = instances_[index(left)];
+    const auto& other = instances_[index(right)];
+    const auto& from = one.state->self.data_centre;
+    const auto& to = other.state->self.data_centre;
+    const bool same_side = from == to || (!cut_data_centres_.contains(from) && !cut_data_centres_.contains(to));
+    return same_side && !one.isolated && !other.isolated;
+}
+
+bool deployment::reaches_server(int instance, const fake_server& server) const {
+    const auto& from = instances_[index(instance)].state->self.data_centre;
+    const auto& to = server.registration.data_centre;
+    return from == to || (!cut_data_centres_.contains(from) && !cut_data_centres_.contains(to));
+}
+
 void deployment::lose_answers(double share, bool late) {
     lost_answer_share_ = share;
     late_writes_ = late;
@@ -268,7 +320,7 @@
 void deployment::execute(int instance, const send_load& effect) {
     for (int number = 0; number < instances(); ++number) {
         const auto& target = instances_[index(number)];
-        if (number != instance && target.state &&
+        if (number != instance && target.state && are_connected(instance, number) &&
             std::find(effect.receivers.begin(), effect.receivers.end(), target.state->self.instance) !=
                 effect.receivers.end()) {
             deliver(number, target.start_number, network_delay, effect.load);
@@ -310,7 +362,7 @@
     for (int number = 0; number < instances(); ++number) {
         const auto& target = instances_[index(number)];
         if (number == sender || !target.state || target.state->self.instance != receiver ||
-            random_fraction() < lost_message_share_) {
+            !are_connected(sender, number) || random_fraction() < lost_message_share_) {
             continue;
         }
         const bool late = random_fraction() < lost_message_share_;
@@ -322,7 +374,7 @@
 void deployment::execute(int instance, const send_change& effect) {
     constexpr double lost_datagrams = 0.2;
     for (int number = 0; number < instances(); ++number) {
-        if (number != instance && random_fraction() >= lost_datagrams) {
+        if (number != instance && random_fraction() >= lost_datagrams && are_connected(instance, number)) {
             deliver(number, instances_[index(number)].start_number, network_delay, effect.change);
         }
     }
@@ -392,25 +444,33 @@
     record_action(effect.first, effect.last, effect.fence,
                   "instance " + std::to_string(instance) + " grants to " + effect.server.value());
     if (random_fraction() < late_grant_share_) {
-        at(2s + std::chrono::milliseconds(random_() % 4000), [this, effect, arrived = now_ + network_delay] {
-            auto* const server = find(effect.address);
-            // The grant's duration counts from its arrival at the server.
-            const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(arrived + effect.hold - now_);
-            if (server != nullptr && server->up && left.count() > 0) {
-                auto late = effect;
-                late.hold = left;
-                apply_grant(*server, late);
-            }
-        });
+        at(shortest_grant_delay_ + std::chrono::milliseconds(random_() % 4000),
+           [this, effect, instance, arrived = now_ + network_delay] {
+               auto* const server = find(effect.address);
+               if (server != nullptr && !reaches_server(instance, *server)) {
+                   return;
+               }
+               // The grant's duration counts from its arrival at the server.
+               const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(arrived + effect.hold - now_);
+               if (server != nullptr && server->up && left.count() > 0) {
+                   auto late = effect;
+                   late.hold = left;
+                   apply_grant(*server, late);
+               }
+           });
         deliver(instance, start_number, grant_timeout, ended);
         return;
     }
-    at(network_delay, [this, instance, start_number, effect, ended] {
+    std::chrono::milliseconds delay = network_delay;
+    if (slow_connection_share_ > 0 && random_fraction() < slow_connection_share_) {
+        delay += std::chrono::milliseconds(random_() % grant_timeout.count());
+    }
+    at(delay, [this, instance, start_number, effect, ended, delay] {
         auto* const server = find(effect.address);
         auto answer = ended;
-        if (server == nullptr || !server->up) {
+        if (server == nullptr || !server->up || !reaches_server(instance, *server)) {
             answer.outcome = grant_outcome::unanswered;
-            deliver(instance, start_number, grant_timeout, answer);
+            deliver(instance, start_number, grant_timeout - delay, answer);
             return;
         }
         answer.outcome =
@@ -424,7 +484,7 @@
     at(network_delay, [this, instance, start_number, effect] {
         release_ended answer{effect.service, effect.range_first, effect.range_fence, false, {}};
         auto* const server = find(effect.address);
-        if (server == nullptr || !server->up) {
+        if (server == nullptr || !server->up || !reaches_server(instance, *server)) {
             deliver(instance, start_number, 2500ms, answer);
             return;
         }
@@ -449,7 +509,7 @@
     const auto& target = instances_[index(instance)];
     lease_read answer;
     answer.asked_at = now_;
-    if (store_down_ || !target.reaches_store) {
+    if (!store_reached_by(instance)) {
         deliver(instance, target.start_number, call_timeout, answer);
         return;
     }
@@ -466,7 +526,7 @@
 
 void deployment::execute(int instance, const read_assignments& /*effect*/) {
     const auto& target = instances_[index(instance)];
-    if (store_down_ || !target.reaches_store) {
+    if (!store_reached_by(instance)) {
         deliver(instance, target.start_number, call_timeout, assignments_read{false});
         return;
     }
@@ -481,7 +541,7 @@
 
 void deployment::execute(int instance, const refresh_assignments& /*effect*/) {
     const auto& target = instances_[index(instance)];
-    if (store_down_ || !target.reaches_store || assignment_version_ == 0) {
+    if (!store_reached_by(instance) || assignment_version_ == 0) {
         return;
     }
     at(store_delay / 2, [this, instance, start_number = target.start_number] {
@@ -511,7 +571,7 @@
     rows_written answer;
     answer.asked_at = now_;
     const int start_number = target.start_number;
-    if (store_down_ || !target.reaches_store) {
+    if (!store_reached_by(instance)) {
         deliver(instance, start_number, call_timeout, answer);
         return;
     }
--- a/tests/routing/deployment.hpp
+++ b/tests/routing/deployment.hpp
@@ -32,6 +32,8 @@
     std::unique_ptr<routing::state> state;
     bool runs = true;
     bool reaches_store = true;
+    /// It reaches neither the store nor other instances, but still the backend servers.
+    bool isolated = false;
     /// Counts the starts. Events addressed to an earlier start are dropped.
     int start_number = 0;
     base::boot_time frozen_until;
@@ -50,11 +52,22 @@
     void restart(int instance);
     void freeze(int instance, std::chrono::microseconds time);
     void set_store_cut(int instance, bool cut);
+    /// Asks the instance to stop; its process ends after `grace`.
+    void shut_down(int instance, std::chrono::microseconds grace);
+    /// Cuts the instance off from the store and the other instances; it still reaches the backend servers.
+    void set_isolated(int instance, bool isolated);
+    /// Cuts a data centre off from the store and the other data centres.
+    void set_data_centre_cut(int data_centre, bool cut);
     void set_store_down(bool down) { store_down_ = down; }
     /// Share of the writes whose answers are lost although the writes are done; `late`: they are done seconds later.
     void lose_answers(double share, bool late);
-    /// Share of the grants that get no answer and take effect seconds later.
-    void delay_grants(double share) { late_grant_share_ = share; }
+    /// Share of the grants that get no answer and take effect after `shortest` to 4 s more.
+    void delay_grants(double share, std::chrono::milliseconds shortest = 2s) {
+        late_grant_share_ = share;
+        shortest_grant_delay_ = shortest;
+    }
+    /// Share of the grants that wait for their connection, up to the timeout of the call.
+    void delay_connections(double share) { slow_connection_share_ = share; }
     /// Share of the orders and reports of renewals that get lost, and of those that arrive up to 3 s late.
     void lose_messages(double share) { lost_message_share_ = share; }
     void crash_server(int server);
@@ -100,6 +113,10 @@
     void tick(int instance, int start_number);
     void deliver_initial_state(int instance);
     void deliver_to_all(const event& event);
+    [[nodiscard]] bool store_reached_by(int instance) const;
+    /// Whether datagrams between the instances arrive.
+    [[nodiscard]] bool are_connected(int left, int right) const;
+    [[nodiscard]] bool reaches_server(int instance, const fake_server& server) const;
 
     void execute(int instance, const send_request& /*effect*/) { (void)instance; }
     void execute(int instance, const cancel_attempt& /*effect*/) { (void)instance; }
@@ -152,6 +169,9 @@
     double lost_answer_share_ = 0;
     bool late_writes_ = false;
     double late_grant_share_ = 0;
+    std::chrono::milliseconds shortest_grant_delay_ = 2s;
+    double slow_connection_share_ = 0;
+    std::set<model::data_centre_id> cut_data_centres_;
     double lost_message_share_ = 0;
     std::uint64_t version_ = 0;
     std::uint64_t lease_version_ = 0;
--- /dev/null
+++ b/tests/routing/ownership_partition_test.cpp
@@ -0,0 +1,152 @@
+#include <catch2/catch.hpp>
+
+#include "routing/deployment.hpp"
+
+namespace lovagetack::routing::testing {
+namespace {
+
+/// Seeds of the random faults. Under the sanitizers a seed takes many times as long.
+#ifdef __SANITIZE_ADDRESS__
+constexpr int last_seed = 8;
+constexpr int last_large_seed = 2;
+#else
+constexpr int last_seed = 240;
+constexpr int last_large_seed = 60;
+#endif
+
+/// Faults that begin and end independently, so that partitions, shutdowns and late grants overlap.
+class overlapping_faults {
+public:
+    overlapping_faults(deployment& deployment, std::uint64_t seed) : deployment_(deployment), random_(seed * 104729) {}
+
+    void play() {
+        deployment_.run_for(4s);
+        for (int fault = 0; fault < 24; ++fault) {
+            begin_one();
+            for (int request = 0; request < 60; ++request) {
+                deployment_.request_key(30000 + below(300));
+            }
+            deployment_.run_for(std::chrono::milliseconds(50 + below(1500)));
+        }
+    }
+
+private:
+    std::uint32_t below(std::uint32_t limit) { return static_cast<std::uint32_t>(random_() % limit); }
+    bool one_in(std::uint32_t count) { return below(count) == 0; }
+    /// The keeper as often as any instance.
+    int some_instance() {
+        const int instance = static_cast<int>(below(static_cast<std::uint32_t>(deployment_.instances())));
+        return one_in(2) && deployment_.keeper() >= 0 ? deployment_.keeper() : instance;
+    }
+    int some_server() { return static_cast<int>(below(static_cast<std::uint32_t>(deployment_.servers()))); }
+
+    void begin_one() {
+        const int instance = some_instance();
+        switch (below(14)) {
+        case 0:
+            deployment_.kill(instance);
+            break;
+        case 1:
+        case 2:
+            deployment_.restart(instance);
+            break;
+        case 3:
+            deployment_.shut_down(instance, 2600ms);
+            break;
+        case 4:
+            deployment_.freeze(instance, std::chrono::milliseconds(500 + below(4000)));
+            break;
+        case 5:
+            deployment_.set_store_cut(instance, !one_in(3));
+            break;
+        case 6:
+            deployment_.set_isolated(instance, !one_in(3));
+            break;
+        case 7:
+            deployment_.set_data_centre_cut(static_cast<int>(below(3)), !one_in(2));
+            break;
+        case 8:
+            deployment_.set_store_down(one_in(3));
+            break;
+        case 9:
+            deployment_.lose_answers(one_in(2) ? 0.3 : 0.0, one_in(2));
+            break;
+        case 10:
+            deployment_.delay_grants(one_in(2) ? 0.3 : 0.0, 450ms);
+            deployment_.delay_connections(one_in(2) ? 0.3 : 0.0);
+            break;
+        case 11:
+            deployment_.drain_server(some_server());
+            break;
+        case 12:
+            deployment_.crash_server(some_server());
+            break;
+        default:
+            deployment_.restart_server(some_server());
+            break;
+        }
+    }
+
+    deployment& deployment_;
+    std::mt19937_64 random_;
+};
+
+void require_single_ownership(const deployment& deployment) {
+    for (const auto& text : deployment.violations()) {
+        UNSCOPED_INFO(text);
+    }
+    REQUIRE(deployment.violations().empty());
+}
+
+/// A keeper that is cut off with its data centre goes on renewing grants there while its successor ends.
+void check_cut_off_holder(std::uint64_t seed, void (*end_successor)(deployment&, int)) {
+    INFO("seed " << seed);
+    deployment deployment(9, 8, seed);
+    deployment.run_for(5s);
+    const int cut_off = deployment.keeper();
+    deployment.set_data_centre_cut(cut_off % 3, true);
+    const auto is_successor = [&](int instance) {
+        return instance != cut_off && deployment.state_of(instance).keeper.phase == keeper_phase::holding;
+    };
+    int successor = 0;
+    for (int step = 0; !is_successor(successor); ++step) {
+        REQUIRE(step < deployment.instances() * 50);
+        successor = step % deployment.instances();
+        deployment.run_for(10ms);
+    }
+    end_successor(deployment, successor);
+    deployment.run_for(14s);
+    require_single_ownership(deployment);
+}
+
+} // namespace
+
+TEST_CASE("a keeper that replaces a restarted one waits for the renewals of the one before it") {
+    const auto seed = GENERATE(range(1, 20));
+    check_cut_off_holder(static_cast<std::uint64_t>(seed),
+                         [](deployment& deployment, int successor) { deployment.restart(successor); });
+}
+
+TEST_CASE("a keeper that replaces a stopped one waits for the renewals of the one before it") {
+    const auto seed = GENERATE(range(1, 20));
+    check_cut_off_holder(static_cast<std::uint64_t>(seed),
+                         [](deployment& deployment, int successor) { deployment.shut_down(successor, 2600ms); });
+}
+
+TEST_CASE("ownership stays single through partitions, shutdowns and late grants") {
+    const auto seed = GENERATE(range(1, last_seed + 1));
+    INFO("seed " << seed);
+    deployment deployment(7, 9, static_cast<std::uint64_t>(seed));
+    overlapping_faults(deployment, static_cast<std::uint64_t>(seed)).play();
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("ownership stays single through partitions, shutdowns and late grants of renewers") {
+    const auto seed = GENERATE(range(1, last_large_seed + 1));
+    INFO("seed " << seed);
+    deployment deployment(20, 40, static_cast<std::uint64_t>(seed));
+    overlapping_faults(deployment, static_cast<std::uint64_t>(seed)).play();
+    require_single_ownership(deployment);
+}
+
+} // namespace lovagetack::routing::testing
