routing: the hold time of a grant counts from the end of its call

Two backend servers held the same keys for up to 0.3 s: the range was granted to the next owner while the last one, which could not be reached for a release, still held it.

Cause: the end of a grant was computed from the time of the decision to send it. The same held for grants without an answer, for renewals by other instances, and for the last calls of a former keeper.

Change: a grant may have arrived until its call has ended; while a call is under way to the leaving owner, nothing is taken to have ended. Where only the right to send is known (a former keeper, a silent renewer), the time of a call is added. Records of owners outlive the keeper's term, as calls of the last term still end in the next.

Cost: keys of a server that does not answer move up to 450 ms later.

--- a/source/routing/delegation.cpp
+++ b/source/routing/delegation.cpp
@@ -198,7 +198,7 @@
     std::erase_if(keeper.delegates, [&step](const auto& entry) {
         const auto& delegate = entry.second;
         return delegate.orders.empty() && is_silent(delegate, step.now) && delegate.renewed_before.empty() &&
-               step.now > delegate.permitted_until + longest_hold();
+               step.now > delegate.permitted_until + grant_call_time + longest_hold();
     });
 }
 
@@ -257,9 +257,10 @@
         }
         if (delegate.confirmed_sequence != delegate.sequence) {
             // Nothing is known of what it has sent since its last report.
-            result.possible = result.possible || step.now <= delegate.permitted_until;
-            result.sent_at = std::max(result.sent_at, delegate.permitted_until);
-            result.unanswered_at = std::max(result.unanswered_at, delegate.permitted_until);
+            const auto last = delegate.permitted_until + grant_call_time;
+            result.possible = result.possible || step.now <= last;
+            result.sent_at = std::max(result.sent_at, last);
+            result.unanswered_at = std::max(result.unanswered_at, last);
             continue;
         }
         result.possible = result.possible || std::any_of(delegate.orders.begin(), delegate.orders.end(), concerns);
--- a/source/routing/duty.cpp
+++ b/source/routing/duty.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "routing/granting.hpp"
 #include "routing/keeper.hpp"
 #include "routing/log_fields.hpp"
 
@@ -68,6 +69,10 @@
     return keeper.former_delegates ? renewer_permit : std::chrono::milliseconds(0);
 }
 
+base::boot_time last_former_grant(const keeper_state& keeper) {
+    return std::max(keeper.former_renewals_until, keeper.started_at) + grant_call_time;
+}
+
 void note_former_holder_ended(keeper_state& keeper, base::boot_time at) {
     const auto end = std::max(keeper.earlier_renewals_until, at + renewals_after_former_holder(keeper));
     keeper.former_renewals_until = std::min(keeper.former_renewals_until, end);
@@ -109,7 +114,13 @@
     keeper.lease = {};
     keeper.grants.clear();
     keeper.moves.clear();
-    keeper.owners.clear();
+    // Calls of this term may still be under way.
+    std::erase_if(keeper.owners, [&step](const auto& entry) {
+        return entry.second.under_way == 0 && step.now - entry.second.granted_at > longest_hold();
+    });
+    for (auto& [id, owner] : keeper.owners) {
+        owner.failures_in_row = 0;
+    }
     keeper.delegates.clear();
     keeper.delegate_of.clear();
     keeper.changed.clear();
--- a/source/routing/duty.hpp
+++ b/source/routing/duty.hpp
@@ -27,6 +27,9 @@
 /// How long renewals go on after the previous holder has ended or stopped.
 [[nodiscard]] std::chrono::milliseconds renewals_after_former_holder(const keeper_state& keeper);
 
+/// The latest arrival of a grant of a holder before this instance.
+[[nodiscard]] base::boot_time last_former_grant(const keeper_state& keeper);
+
 /// The previous holder ended at `at`, at the latest: only instances on its orders, and holders before it, may still
 /// renew grants.
 void note_former_holder_ended(keeper_state& keeper, base::boot_time at);
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -190,7 +190,8 @@
     /// The server has seen a higher fencing token.
     bool superseded = false;
     std::int32_t failures_in_row = 0;
-    /// When a renewal was last sent, last accepted, and last sent without getting an answer.
+    /// End of the last call that may have reached the server, or its start while it is under way; when a renewal was
+    /// last sent that was accepted; and the end of the last call without an answer.
     std::optional<std::chrono::milliseconds> sent;
     std::optional<std::chrono::milliseconds> accepted;
     std::optional<std::chrono::milliseconds> unanswered;
--- a/source/routing/granting.cpp
+++ b/source/routing/granting.cpp
@@ -14,19 +14,22 @@
 
 void send_grant(step& step, const model::service_id& service, const key_range& range, const server_record& server,
                 const std::string& handover) {
-    auto& owner = step.state.keeper.owners[range.owner];
-    owner.sent_at = step.now;
-    ++owner.under_way;
+    ++step.state.keeper.owners[range.owner].under_way;
     step.add(grant_range{service, range.owner, server.registration.address, range.first, range.last, range.fence,
                          hold_time, handover});
 }
 
+bool is_grant_under_way(const step& step, const model::backend_server_id& server) {
+    const auto owner = step.state.keeper.owners.find(server);
+    return owner != step.state.keeper.owners.end() && owner->second.under_way > 0;
+}
+
 /// Whether the leaving owner's grant of the range has certainly ended.
 bool leaving_grant_ended(const step& step, const model::service_id& service, const key_range& range,
                          const move_record& move) {
     const auto& keeper = step.state.keeper;
     const auto owner = keeper.owners.find(range.leaving);
-    const auto sent = owner != keeper.owners.end() ? owner->second.sent_at : base::boot_time();
+    const auto granted = owner != keeper.owners.end() ? owner->second.granted_at : base::boot_time();
     const auto unanswered = owner != keeper.owners.end() ? owner->second.unanswered_at : base::boot_time();
     // An owner that has seen a token of this term rejects grants of former holders.
     const auto server = step.state.servers.find(range.leaving);
@@ -34,17 +37,17 @@
     const auto first_token = keeper.first_tokens.find(service);
     const bool of_this_term = first_token != keeper.first_tokens.end() && range.leaving_fence >= first_token->second;
     const bool fenced = same_life && of_this_term && keeper.confirmed.contains({service, range.leaving_fence});
-    const auto last_former_grant = std::max(keeper.former_renewals_until, keeper.started_at);
+    const auto last_former = last_former_grant(keeper);
     const auto delegated = renewals_of_leaving_owner(step, service, range);
-    if (delegated.possible) {
+    if (delegated.possible || move.started_at == base::boot_time()) {
         return false;
     }
     if (move.released && step.now > std::max(unanswered, delegated.unanswered_at) + longest_hold() &&
-        (fenced || step.now > last_former_grant + longest_hold())) {
+        (fenced || step.now > last_former + longest_hold())) {
         return true;
     }
     // Renewals ended before the move began.
-    const auto last = std::max({std::min(sent, move.started_at), last_former_grant, delegated.sent_at});
+    const auto last = std::max({std::min(granted, move.started_at), last_former, delegated.sent_at});
     return step.now > last + longest_hold();
 }
 
@@ -55,9 +58,7 @@
         return;
     }
     // A renewal that arrives after the release would grant the keys to the leaving owner again.
-    const auto owner = step.state.keeper.owners.find(range.leaving);
-    const bool under_way = owner != step.state.keeper.owners.end() && owner->second.under_way > 0;
-    if (under_way || renewals_of_leaving_owner(step, service, range).possible) {
+    if (is_grant_under_way(step, range.leaving) || renewals_of_leaving_owner(step, service, range).possible) {
         return;
     }
     move.release_under_way = true;
@@ -129,9 +130,8 @@
 
 void continue_move(step& step, const model::service_id& service, const key_range& range) {
     auto& keeper = step.state.keeper;
-    const auto [found, is_new] = keeper.moves.try_emplace({service, range.first, range.fence});
-    auto& move = found->second;
-    if (is_new) {
+    auto& move = keeper.moves[{service, range.first, range.fence}];
+    if (move.started_at == base::boot_time() && !is_grant_under_way(step, range.leaving)) {
         move.started_at = step.now;
     }
     if (!leaving_grant_ended(step, service, range, move)) {
@@ -158,6 +158,9 @@
     if (found != keeper.owners.end()) {
         auto& owner = found->second;
         owner.under_way = std::max(0, owner.under_way - 1);
+        if (event.outcome != grant_outcome::refused) {
+            owner.granted_at = step.now;
+        }
         if (event.outcome == grant_outcome::accepted) {
             owner.failures_in_row = 0;
             owner.confirmed_at = std::max(owner.confirmed_at, event.sent_at);
@@ -166,7 +169,7 @@
             ++owner.failures_in_row;
         }
         if (event.outcome == grant_outcome::unanswered) {
-            owner.unanswered_at = std::max(owner.unanswered_at, event.sent_at);
+            owner.unanswered_at = step.now;
         }
     }
     if (event.outcome != grant_outcome::accepted) {
--- a/source/routing/keeper_plan.cpp
+++ b/source/routing/keeper_plan.cpp
@@ -75,9 +75,9 @@
     }
     const auto first = keeper.first_tokens.find(service);
     const bool inherited = first == keeper.first_tokens.end() || range.fence < first->second;
-    const auto last_former_grant = std::max(keeper.former_renewals_until, keeper.started_at);
     // The new owner of a move of an earlier term may have been granted the keys; after this time nobody holds them.
-    return inherited && step.now <= last_former_grant + longest_hold() ? move_stage::unknown : move_stage::begun;
+    return inherited && step.now <= last_former_grant(keeper) + longest_hold() ? move_stage::unknown
+                                                                               : move_stage::begun;
 }
 
 void log_postponed_balance(step& step, const model::service_id& service, const assignment& assignment) {
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -174,6 +174,9 @@
 /// server; a shorter one leaves less time to replace a lost keeper.
 inline constexpr std::chrono::milliseconds hold_time = 2400ms;
 inline constexpr std::chrono::microseconds renewal_period = 600ms;
+/// A grant reaches its server at most this long after the decision to send it, since the call may wait for a
+/// connection.
+inline constexpr std::chrono::milliseconds grant_call_time = 450ms;
 /// Factor by which a grant may last longer because the clock of its backend server runs slow.
 inline constexpr double slow_clock_factor = 1.03;
 inline constexpr std::chrono::microseconds hold_margin = 100ms;
--- a/source/routing/renewing.cpp
+++ b/source/routing/renewing.cpp
@@ -21,7 +21,7 @@
     status.under_way = record.under_way;
     status.superseded = record.superseded;
     status.failures_in_row = record.failures_in_row;
-    status.sent = age_of(record.sent_at, now);
+    status.sent = age_of(std::max(record.sent_at, record.granted_at), now);
     status.accepted = age_of(record.accepted_at, now);
     status.unanswered = age_of(record.unanswered_at, now);
     return status;
@@ -107,6 +107,9 @@
     }
     auto& record = found->second;
     record.under_way = false;
+    if (event.outcome != grant_outcome::refused) {
+        record.granted_at = step.now;
+    }
     switch (event.outcome) {
     case grant_outcome::accepted:
         record.failures_in_row = 0;
@@ -117,7 +120,7 @@
         step.state.renewer.next_report = step.now;
         break;
     case grant_outcome::unanswered:
-        record.unanswered_at = record.sent_at;
+        record.unanswered_at = step.now;
         break;
     case grant_outcome::refused:
         break;
@@ -144,7 +147,8 @@
     // A dropped renewal is reported until its server can no longer carry it out.
     std::erase_if(renewer.renewals, [&step](const auto& entry) {
         const auto& record = entry.second;
-        return !record.ordered && !record.under_way && step.now - record.sent_at > longest_hold();
+        return !record.ordered && !record.under_way &&
+               step.now - std::max(record.sent_at, record.granted_at) > longest_hold();
     });
     const bool keeper_listens = step.now - renewer.ordered_at < renewer_permit;
     if (step.now >= renewer.next_report && keeper_listens) {
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -174,10 +174,11 @@
 
 /// The keeper's record of the grants of one owner.
 struct owner_record {
-    /// When a grant was last sent to it, and last confirmed by it.
-    base::boot_time sent_at;
+    /// End of the last call with a grant that may have reached it; the hold time counts from the arrival.
+    base::boot_time granted_at;
+    /// When the last grant that it has confirmed was sent.
     base::boot_time confirmed_at;
-    /// When the last grant without an answer was sent: the owner may still carry it out.
+    /// End of the last call without an answer: the owner may still carry its grant out.
     base::boot_time unanswered_at;
     std::int32_t under_way = 0;
     std::int32_t failures_in_row = 0;
@@ -185,6 +186,7 @@
 
 /// The keeper's record of one move.
 struct move_record {
+    /// When no more calls with grants of the range were under way to the leaving owner.
     base::boot_time started_at;
     base::boot_time release_sent_at;
     bool release_under_way = false;
@@ -210,6 +212,8 @@
     bool superseded = false;
     std::int32_t failures_in_row = 0;
     base::boot_time sent_at;
+    /// End of the last call that may have reached the server.
+    base::boot_time granted_at;
     base::boot_time accepted_at;
     base::boot_time unanswered_at;
 };
--- a/tests/routing/ownership_partition_test.cpp
+++ b/tests/routing/ownership_partition_test.cpp
@@ -133,6 +133,25 @@
                          [](deployment& deployment, int successor) { deployment.shut_down(successor, 2600ms); });
 }
 
+TEST_CASE("keys move after the hold time of a grant that waited for its connection") {
+    const int instances = GENERATE(9, 24);
+    const auto seed = GENERATE(range(1, 20));
+    INFO("seed " << seed);
+    deployment deployment(instances, 12, static_cast<std::uint64_t>(seed));
+    deployment.run_for(5s);
+    deployment.delay_connections(1.0);
+    deployment.run_for(2s);
+    const int data_centre = (deployment.keeper() + 1) % 3;
+    for (int server = data_centre; server < deployment.servers(); server += 3) {
+        deployment.drain_server(server);
+    }
+    // The releases do not reach the leaving servers, so their last grants have to end.
+    deployment.run_for(6ms);
+    deployment.set_data_centre_cut(data_centre, true);
+    deployment.run_for(12s);
+    require_single_ownership(deployment);
+}
+
 TEST_CASE("ownership stays single through partitions, shutdowns and late grants") {
     const auto seed = GENERATE(range(1, last_seed + 1));
     INFO("seed " << seed);
