http: a call is not sent after its timeout by a process that did not run

A machine that is suspended, or a process that gets no processor time, while a call waits for its connection could send a grant seconds after the keeper has taken it for ended: the timer of the call does not count a suspension, and a connection that is ready is handled before a timer that is due.

--- a/source/http/call.cpp
+++ b/source/http/call.cpp
@@ -5,7 +5,7 @@
 namespace lovagetack::http {
 
 call::call(connection_pool& pool, std::string text, std::chrono::milliseconds timeout, done_function done)
-    : pool_(pool), text_(std::move(text)), done_(std::move(done)) {
+    : pool_(pool), text_(std::move(text)), done_(std::move(done)), latest_start_(base::boot_clock::now() + timeout) {
     timer_.setSingleShot(true);
     QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] {
         result_.status = 0;
@@ -21,6 +21,10 @@
 
 void call::connection_ready(const std::shared_ptr<client_connection>& connection) {
     connection_ = connection;
+    if (base::boot_clock::now() >= latest_start_) {
+        end();
+        return;
+    }
     result_.sent = true;
     connection_->start(*this, false, text_);
     connection_->end_request();
--- a/source/http/call.hpp
+++ b/source/http/call.hpp
@@ -8,6 +8,7 @@
 
 #include <QTimer>
 
+#include "base/boot_time.hpp"
 #include "http/client_connection.hpp"
 #include "http/connection_pool.hpp"
 #include "http/header_rules.hpp"
@@ -59,6 +60,8 @@
     call_result result_;
     std::shared_ptr<client_connection> connection_;
     QTimer timer_;
+    /// The request is not sent after this time. The timer does not count the time in which the machine is suspended.
+    base::boot_time latest_start_;
 };
 
 } // namespace lovagetack::http
