routing: keys do not move while an unanswered write may still be carried out

Two backend servers held the same keys for up to 2.4 s.

Cause: the store may carry out a write without an answer seconds later, if its condition still holds. A keeper that found the row unchanged went on: it granted keys to the new owner of a move, and the late write then replaced this owner by another one, of which the record knew only the owner that had left long ago. Nothing waited for the grant of the replaced owner.

The random sequences never end an evacuation, so they did not find it.

Change: after an unanswered write the keeper writes its lease again at once, and moves no keys until a write has succeeded, which rules the late one out, or has found that it was done. Grants go on being renewed.

--- a/source/routing/duty.cpp
+++ b/source/routing/duty.cpp
@@ -125,6 +125,7 @@
     keeper.delegate_of.clear();
     keeper.changed.clear();
     keeper.writing.clear();
+    keeper.write_unresolved = false;
     schedule_check(step);
 }
 
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -255,6 +255,7 @@
     }
     if (event.outcome == write_outcome::written) {
         note_store_time(keeper, event.store_time, event.asked_at, step.now);
+        keeper.write_unresolved = false;
         keeper.lease_version = event.version;
         keeper.lease = keeper.pending;
         for (const auto& [service, assignment] : written) {
@@ -290,6 +291,7 @@
     }
     // The plan may be based on an outdated assignment: read the store again.
     keeper.changed.clear();
+    keeper.write_unresolved = event.outcome == write_outcome::unknown;
     step.add(log_line{true,
                       "lease_write_unresolved",
                       {text_field("outcome", event.outcome == write_outcome::conflict ? "conflict" : "unknown")}});
@@ -350,7 +352,8 @@
             renew_grants(step, name, record);
         }
     }
-    if (may_change(step)) {
+    // A write that is carried out late must not replace an owner that was granted its keys meanwhile.
+    if (may_change(step) && !keeper.write_unresolved) {
         plan_all(step);
         for (const auto& [name, record] : step.state.services) {
             for (const auto& range : record.assignment.ranges) {
@@ -364,7 +367,7 @@
             }
         }
     }
-    const bool due = step.now - keeper.renewed_at >= lease_renewal;
+    const bool due = step.now - keeper.renewed_at >= lease_renewal || keeper.write_unresolved;
     if (keeper.phase == keeper_phase::holding && !keeper.write_under_way && step.now >= keeper.next_write &&
         (due || (are_changes_due(step) && may_change(step)))) {
         if (!may_change(step)) {
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -261,6 +261,8 @@
     /// The lease as the write in progress would leave it.
     keeper_lease pending;
     bool write_under_way = false;
+    /// A write was not answered and may still be carried out, until another one succeeds or finds that it was.
+    bool write_unresolved = false;
     bool read_under_way = false;
     /// Earliest times of the next write and read after the store refused one.
     base::boot_time next_write;
--- a/tests/routing/ownership_partition_test.cpp
+++ b/tests/routing/ownership_partition_test.cpp
@@ -9,9 +9,11 @@
 #ifdef __SANITIZE_ADDRESS__
 constexpr int last_seed = 8;
 constexpr int last_large_seed = 2;
+constexpr int last_late_write_seed = 10;
 #else
 constexpr int last_seed = 240;
 constexpr int last_large_seed = 60;
+constexpr int last_late_write_seed = 300;
 #endif
 
 /// Faults that begin and end independently, so that partitions, shutdowns and late grants overlap.
@@ -152,6 +154,36 @@
     require_single_ownership(deployment);
 }
 
+TEST_CASE("a write that is carried out late does not replace an owner that was granted its keys meanwhile") {
+    const auto seed = GENERATE(range(1, last_late_write_seed + 1));
+    INFO("seed " << seed);
+    deployment deployment(9, 8, static_cast<std::uint64_t>(seed));
+    deployment.run_for(5s);
+    deployment.crash_server(3);
+    const auto new_owner = [&]() -> const key_range* {
+        for (const auto& range : deployment.assignment().ranges) {
+            if (range.leaving == model::backend_server_id("server-3")) {
+                return &range;
+            }
+        }
+        return nullptr;
+    };
+    for (int step = 0; new_owner() == nullptr; ++step) {
+        REQUIRE(step < 400);
+        deployment.run_for(10ms);
+    }
+    const auto data_centre = deployment.state_of(0).servers.at(new_owner()->owner).registration.data_centre.value();
+    deployment.run_for(std::chrono::milliseconds(seed * 37 % 1600));
+    deployment.lose_answers(1.0, true);
+    deployment.evacuate(data_centre, true);
+    deployment.run_for(100ms);
+    deployment.evacuate(data_centre, false);
+    deployment.run_for(seed % 2 == 0 ? 900ms : 2500ms);
+    deployment.lose_answers(0, false);
+    deployment.run_for(8s);
+    require_single_ownership(deployment);
+}
+
 TEST_CASE("ownership stays single through partitions, shutdowns and late grants") {
     const auto seed = GENERATE(range(1, last_seed + 1));
     INFO("seed " << seed);
