routing: renewers get orders only once the lease tells of them

A keeper that replaces a restarted one did not wait for renewers of which the lease did not tell: two servers could hold the same keys for as long as a renewer's permit lasts.

Cause: the lease's flag followed the number of instances when it was written, the orders followed the number when they were given. When a deployment grew beyond 16 instances, renewers got permits before the row told of them. When it shrank to 16, the keeper gave no more orders but kept its list of delegated owners, so that nobody renewed their grants.

Change: orders need a confirmed lease with the flag; the flag stays while there are delegates; a deployment that became small takes its orders back.

--- a/source/routing/delegation.cpp
+++ b/source/routing/delegation.cpp
@@ -174,11 +174,13 @@
 
 void delegate_renewals(step& step) {
     auto& keeper = step.state.keeper;
-    if (step.state.instances.size() <= small_deployment || step.now < keeper.next_delegation) {
+    // The next keeper learns from the lease that it has to wait for renewers.
+    const bool delegates = step.state.instances.size() > small_deployment && keeper.lease.delegates;
+    if ((!delegates && keeper.delegates.empty()) || step.now < keeper.next_delegation) {
         return;
     }
     keeper.next_delegation = step.now + plan_period;
-    const auto wanted = wanted_orders(step);
+    const auto wanted = delegates ? wanted_orders(step) : orders_by_owner();
     add_delegates(step, wanted.size());
     auto distributed = distribute(step, wanted);
     for (auto& [id, delegate] : keeper.delegates) {
--- a/source/routing/duty.cpp
+++ b/source/routing/duty.cpp
@@ -35,7 +35,7 @@
     lease.until = latest_store_time(keeper, step.now) + lease_time.count();
     lease.earlier_renewals_until = former_renewals_end(keeper, step.now);
     lease.renewals_until = std::max(lease.until + renewal_extension.count(), lease.earlier_renewals_until);
-    lease.delegates = step.state.instances.size() > small_deployment;
+    lease.delegates = step.state.instances.size() > small_deployment || !keeper.delegates.empty();
     return lease;
 }
 
--- a/tests/routing/ownership_partition_test.cpp
+++ b/tests/routing/ownership_partition_test.cpp
@@ -184,6 +184,44 @@
     require_single_ownership(deployment);
 }
 
+/// Makes all instances forget the record of one.
+void forget_instance(deployment& deployment, int gone) {
+    const auto id = deployment.state_of(gone).self.instance;
+    for (int number = 0; number < deployment.instances(); ++number) {
+        deployment.state_of(number).instances.erase(id);
+    }
+}
+
+TEST_CASE("renewers get orders only once the lease tells the next keeper of them") {
+    deployment deployment(17, 40, 1);
+    deployment.kill(16);
+    deployment.run_for(45ms);
+    forget_instance(deployment, 16);
+    deployment.run_for(5s);
+    const auto& keeper = deployment.state_of(deployment.keeper()).keeper;
+    REQUIRE(keeper.delegates.empty());
+    deployment.restart(16);
+    for (int step = 0; step < 200; ++step) {
+        deployment.run_for(10ms);
+        REQUIRE((keeper.delegates.empty() || keeper.lease.delegates));
+    }
+    REQUIRE_FALSE(keeper.delegates.empty());
+}
+
+TEST_CASE("the keeper of a deployment that becomes small renews the grants itself") {
+    deployment deployment(17, 40, 2);
+    deployment.run_for(5s);
+    REQUIRE_FALSE(deployment.state_of(deployment.keeper()).keeper.delegates.empty());
+    const int gone = deployment.keeper() == 0 ? 1 : 0;
+    deployment.kill(gone);
+    forget_instance(deployment, gone);
+    for (int step = 0; step < 150; ++step) {
+        deployment.run_for(100ms);
+        REQUIRE(deployment.held_share() == 1.0);
+    }
+    require_single_ownership(deployment);
+}
+
 TEST_CASE("ownership stays single through partitions, shutdowns and late grants") {
     const auto seed = GENERATE(range(1, last_seed + 1));
     INFO("seed " << seed);
