routing, platform: versions of the store are ordered by era and number

Cause: versions were compared as numbers. The store gives numbers out again after a restoration, in a new era; only era and number together are ordered. A follower took the restored table for stale and read it again for ever; it could also follow changes from a number that had been given out again. The lease and the fencing tokens went back in the same way.

Change: store_version orders era and number in one integer, which rows, messages, events and leases carry, so that no comparison can leave the era out. A table is read whole in a new era; a change to a new era follows only the very state that it starts from. Each era has a lease row of its own, so that a late write of a former era never finds its condition, and fencing tokens above those of the former ones. The keeper of the former era, which knows what was lost, renews its grants and claims the new lease; keys move only when the grants of another keeper, whose claim may be lost without a trace, have ended. Other claimants grant nothing until then. store_restored and keeper_continues_after_restoration tell of it.

--- a/source/routing/assignment.hpp
+++ b/source/routing/assignment.hpp
@@ -43,6 +43,8 @@
     model::instance_id keeper;
     /// Sorted; covers all keys.
     std::vector<key_range> ranges;
+    /// The era of the store in which it was written.
+    std::uint64_t era = 0;
 
     bool operator==(const assignment&) const = default;
 };
@@ -57,6 +59,8 @@
     std::int64_t renewals_until = 0;
     /// Until this time a holder before this one may renew grants, whatever becomes of this one.
     std::int64_t earlier_renewals_until = 0;
+    /// Until this time servers may hold keys by grants that a restoration of the store has lost from the assignments.
+    std::int64_t unrecorded_grants_until = 0;
     /// Other instances renew grants on the holder's orders, for up to renewer_permit after its end.
     bool delegates = false;
 };
@@ -106,9 +110,9 @@
 template <>
 struct lovagetack::base::fields_of<lovagetack::routing::assignment> {
     static constexpr std::string_view name = "assignment";
-    static constexpr auto list = std::make_tuple(make_field("next_fence", &routing::assignment::next_fence),
-                                                 make_field("keeper", &routing::assignment::keeper),
-                                                 make_field("ranges", &routing::assignment::ranges));
+    static constexpr auto list = std::make_tuple(
+        make_field("next_fence", &routing::assignment::next_fence), make_field("keeper", &routing::assignment::keeper),
+        make_field("era", &routing::assignment::era), make_field("ranges", &routing::assignment::ranges));
 };
 
 template <>
@@ -120,6 +124,7 @@
                         make_field("until", &routing::keeper_lease::until),
                         make_field("renewals_until", &routing::keeper_lease::renewals_until),
                         make_field("earlier_renewals_until", &routing::keeper_lease::earlier_renewals_until),
+                        make_field("unrecorded_grants_until", &routing::keeper_lease::unrecorded_grants_until),
                         make_field("delegates", &routing::keeper_lease::delegates));
 };
 
--- a/source/routing/assignment_rows.cpp
+++ b/source/routing/assignment_rows.cpp
@@ -213,6 +213,7 @@
         routing::assignment head;
         head.next_fence = assignment.next_fence;
         head.keeper = assignment.keeper;
+        head.era = assignment.era;
         auto json = base::to_json(head).toObject();
         json.insert("parts", list);
         whole = text_of(json);
--- a/source/routing/duty.cpp
+++ b/source/routing/duty.cpp
@@ -6,6 +6,7 @@
 #include "routing/granting.hpp"
 #include "routing/keeper.hpp"
 #include "routing/log_fields.hpp"
+#include "routing/store_version.hpp"
 
 namespace lovagetack::routing {
 namespace {
@@ -21,10 +22,14 @@
     return cores * cores;
 }
 
+/// The time of the store's clock at `time`; 0 if it has passed.
+std::int64_t store_time_of(const keeper_state& keeper, base::boot_time time, base::boot_time now) {
+    return time > now ? latest_store_time(keeper, now) + in_milliseconds(time - now) : 0;
+}
+
 /// The time of the store's clock until which holders before this instance may renew grants.
 std::int64_t former_renewals_end(const keeper_state& keeper, base::boot_time now) {
-    const auto left = keeper.former_renewals_until - now;
-    return left.count() > 0 ? latest_store_time(keeper, now) + in_milliseconds(left) : 0;
+    return store_time_of(keeper, keeper.former_renewals_until, now);
 }
 
 keeper_lease next_lease(const step& step) {
@@ -35,6 +40,7 @@
     lease.until = latest_store_time(keeper, step.now) + lease_time.count();
     lease.earlier_renewals_until = former_renewals_end(keeper, step.now);
     lease.renewals_until = std::max(lease.until + renewal_extension.count(), lease.earlier_renewals_until);
+    lease.unrecorded_grants_until = store_time_of(keeper, keeper.moves_from, step.now);
     lease.delegates = step.state.instances.size() > small_deployment || !keeper.delegates.empty();
     return lease;
 }
@@ -54,10 +60,15 @@
     return step.state.keeper.phase == keeper_phase::holding && is_lease_valid(step);
 }
 
+bool may_move(const step& step) {
+    return may_change(step) && step.now >= step.state.keeper.moves_from;
+}
+
 bool may_renew(const step& step) {
     const auto& keeper = step.state.keeper;
-    return keeper.assignments_current && keeper.lease.holder == step.state.self.instance &&
-           keeper.lease.incarnation == step.state.self.incarnation && renewal_time_left(step).count() > 0;
+    return step.now >= keeper.grants_from && keeper.assignments_current &&
+           keeper.lease.holder == step.state.self.instance && keeper.lease.incarnation == step.state.self.incarnation &&
+           renewal_time_left(step).count() > 0;
 }
 
 std::chrono::milliseconds renewal_time_left(const step& step) {
@@ -140,6 +151,7 @@
     rows.lease = keeper.pending;
     for (auto& [service, assignment] : keeper.writing) {
         assignment.keeper = step.state.self.instance;
+        assignment.era = era_of(keeper.lease_version);
         rows.assignments.emplace_back(service, assignment);
     }
     step.add(std::move(rows));
@@ -214,6 +226,7 @@
     rows.expected_lease_version = keeper.lease_version;
     rows.lease.holder = step.state.self.instance;
     rows.lease.incarnation = step.state.self.incarnation;
+    rows.lease.unrecorded_grants_until = store_time_of(keeper, keeper.moves_from, step.now);
     rows.lease.earlier_renewals_until = former_renewals_end(keeper, step.now);
     rows.lease.renewals_until = rows.lease.earlier_renewals_until;
     if (!keeper.delegates.empty()) {
--- a/source/routing/duty.hpp
+++ b/source/routing/duty.hpp
@@ -18,6 +18,9 @@
 /// Whether this instance is the keeper and may change assignments.
 [[nodiscard]] bool may_change(const step& step);
 
+/// Whether this instance may also move keys to other servers.
+[[nodiscard]] bool may_move(const step& step);
+
 /// Whether this instance, as the present or a former holder, may renew grants.
 [[nodiscard]] bool may_renew(const step& step);
 
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -28,6 +28,12 @@
     bool reachable = true;
 };
 
+/// The store's era, as its answers or other instances show it. A higher one than before means that the store has come
+/// back from a copy and has lost what was written after the copy.
+struct store_era_seen {
+    std::uint64_t era = 0;
+};
+
 struct configuration_updated {
     routing::configuration configuration;
 };
@@ -87,10 +93,12 @@
     model::instance_id instance;
 };
 
-/// Answer to read_lease. `version` is 0 if there is no row.
+/// Answer to read_lease. Without a row, the number of `version` is 0. The era is that of the store.
 struct lease_read {
     bool answered = false;
     std::uint64_t version = 0;
+    /// The store has come back from a copy at least once, so that the lease of a former era may have been lost.
+    bool store_was_restored = false;
     std::optional<keeper_lease> lease;
     /// The store's clock in milliseconds when it answered.
     std::int64_t store_time = 0;
@@ -434,12 +442,12 @@
 struct shutdown_begun {};
 
 using event =
-    std::variant<store_reachability_changed, configuration_updated, configuration_rejected, evacuations_updated,
-                 backend_server_updated, backend_server_removed, registry_complete, assignment_learned,
-                 assignment_changed, assignments_complete, instance_updated, instance_removed, lease_read, rows_written,
-                 assignments_read, grant_ended, release_ended, renewal_orders, renewal_report, table_updated,
-                 slot_request, slot_answer, slot_release, slot_report, reader_heartbeat, table_change_received,
-                 table_changes_wanted, table_changes_unknown, instance_load, request_arrived, caller_left, attempt_sent,
-                 answer_forwarding_started, attempt_ended, ticked, shutdown_begun>;
+    std::variant<store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected,
+                 evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
+                 assignment_learned, assignment_changed, assignments_complete, instance_updated, instance_removed,
+                 lease_read, rows_written, assignments_read, grant_ended, release_ended, renewal_orders, renewal_report,
+                 table_updated, slot_request, slot_answer, slot_release, slot_report, reader_heartbeat,
+                 table_change_received, table_changes_wanted, table_changes_unknown, instance_load, request_arrived,
+                 caller_left, attempt_sent, answer_forwarding_started, attempt_ended, ticked, shutdown_begun>;
 
 } // namespace lovagetack::routing
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -10,6 +10,8 @@
 #include "routing/granting.hpp"
 #include "routing/keeper_plan.hpp"
 #include "routing/log_fields.hpp"
+#include "routing/servers.hpp"
+#include "routing/store_version.hpp"
 
 namespace lovagetack::routing {
 namespace {
@@ -114,6 +116,82 @@
     keeper.phase = keeper_phase::reading;
 }
 
+/// The store has come back from a copy: the lease that it shows is not the one that this instance holds.
+void check_restoration(step& step) {
+    auto& keeper = step.state.keeper;
+    if (keeper.phase == keeper_phase::holding && step.state.store_era.value_or(0) > era_of(keeper.lease_version)) {
+        keeper.changed.clear();
+        keeper.phase = keeper_phase::reading;
+    }
+}
+
+/// The largest token that may have been issued before the era that the answer shows; 0 if no issued token can have been
+/// lost.
+std::uint64_t token_floor(const lease_read& event) {
+    constexpr unsigned token_bits = 32;
+    return event.store_was_restored ? era_of(event.version) << token_bits : 0;
+}
+
+/// Whether no other instance can have moved keys without the knowledge of this one, by the lease that it holds or held.
+bool knows_all_grants(const step& step) {
+    const auto& keeper = step.state.keeper;
+    return keeper.assignments_current && keeper.lease.incarnation == step.state.self.incarnation &&
+           renewal_time_left(step) > renewal_extension - complete_knowledge_time;
+}
+
+/// Returns to the check of the lease after a claim as its holder in the former era was not confirmed. False for another
+/// claim.
+bool retry_restored_claim(step& step) {
+    auto& keeper = step.state.keeper;
+    if (keeper.lease.holder != step.state.self.instance) {
+        return false;
+    }
+    keeper.phase = keeper_phase::reading;
+    keeper.next_read = step.now + store_retry;
+    return true;
+}
+
+/// What this instance knows to be granted, to be written again.
+std::map<model::service_id, assignment> known_assignments(const step& step) {
+    std::map<model::service_id, assignment> known;
+    for (const auto& [service, record] : step.state.services) {
+        if (record.assignment.ranges.empty()) {
+            continue;
+        }
+        auto& assignment = known.emplace(service, record.assignment).first->second;
+        assignment.next_fence = std::max(assignment.next_fence, step.state.keeper.token_floor + 1);
+    }
+    return known;
+}
+
+/// Longest time until all grants have ended that were made before a restoration of the store.
+std::chrono::microseconds longest_unrecorded_grants() {
+    return lease_time + renewal_extension + clock_margin + grant_call_time + longest_hold();
+}
+
+/// Takes the lease in a new era of the store as its holder in the era before. Grants are renewed without a break.
+/// Another instance may have held the lease before the restoration without a trace; keys move only when its grants have
+/// ended.
+void claim_restored_lease(step& step, const lease_read& event, bool was_valid) {
+    auto& keeper = step.state.keeper;
+    keeper.lease_version = event.version;
+    keeper.token_floor = token_floor(event);
+    if (!was_valid) {
+        keeper.moves_from = std::max(keeper.moves_from, step.now + longest_unrecorded_grants());
+    }
+    const auto wait = std::max<std::int64_t>(0, in_milliseconds(keeper.moves_from - step.now));
+    step.add(log_line{true,
+                      "keeper_continues_after_restoration",
+                      {number_field("era", era_of(event.version)), number_field("moves_wait_ms", wait)}});
+    keeper.phase = keeper_phase::claiming;
+    keeper.changed = known_assignments(step);
+    for (const auto& [service, assignment] : keeper.changed) {
+        // Without a first token, the service had no assignment when the term began.
+        keeper.first_tokens.try_emplace(service, 1);
+    }
+    write_lease(step);
+}
+
 /// Whether the changes are to be written now: no move is about to end, or they have waited long enough.
 bool are_changes_due(step& step) {
     auto& keeper = step.state.keeper;
@@ -180,6 +258,7 @@
     assignment changed;
     changed.next_fence = event.next_fence;
     changed.keeper = event.keeper;
+    changed.era = era_of(event.version);
     changed.ranges = std::move(*ranges);
     replace_if_newer(step, event.service, event.version, changed);
 }
@@ -196,7 +275,16 @@
         keeper.next_read = step.now + store_retry;
         return;
     }
+    // By the store's clock before the restoration.
+    const bool was_valid = resolving && is_lease_valid(step);
+    const bool knows_grants = resolving && knows_all_grants(step);
     note_store_time(keeper, event.store_time, event.asked_at, step.now);
+    note_store_era(step, era_of(event.version));
+    const bool lease_was_lost = event.store_was_restored && !event.lease;
+    if (lease_was_lost && knows_grants) {
+        claim_restored_lease(step, event, was_valid);
+        return;
+    }
     const bool own = event.lease && event.lease->holder == step.state.self.instance;
     if (own && event.lease->incarnation == step.state.self.incarnation) {
         // A write without an answer has been done, or nothing has changed.
@@ -214,8 +302,9 @@
     if (resolving) {
         step_down(step, "another instance holds the lease");
     }
+    const bool is_left_to_former = lease_was_lost && step.now - step.state.store_restored_at < restored_lease_delay;
     const bool free = !event.lease || own || event.lease->until + clock_margin.count() < event.store_time;
-    if (!free || step.state.shutting_down || !step.state.registry_known) {
+    if (!free || is_left_to_former || step.state.shutting_down || !step.state.registry_known) {
         keeper.phase = keeper_phase::idle;
         schedule_check(step);
         return;
@@ -235,6 +324,14 @@
     if (former_ended) {
         note_former_holder_ended(keeper, step.now);
     }
+    keeper.token_floor = token_floor(event);
+    keeper.moves_from = local_time(former.unrecorded_grants_until);
+    if (lease_was_lost) {
+        keeper.former_renewals_until = step.now + lease_time + renewal_extension + clock_margin;
+        keeper.earlier_renewals_until = keeper.former_renewals_until;
+        keeper.moves_from = step.now + longest_unrecorded_grants();
+    }
+    keeper.grants_from = keeper.moves_from;
     keeper.assignments_current = false;
     keeper.confirmed.clear();
     keeper.first_tokens.clear();
@@ -253,7 +350,8 @@
     if (keeper.phase == keeper_phase::idle) {
         return;
     }
-    if (event.outcome == write_outcome::written) {
+    const bool in_new_era = era_of(event.version) > era_of(keeper.lease_version);
+    if (event.outcome == write_outcome::written && !in_new_era) {
         note_store_time(keeper, event.store_time, event.asked_at, step.now);
         keeper.write_unresolved = false;
         keeper.lease_version = event.version;
@@ -266,7 +364,9 @@
         if (keeper.phase == keeper_phase::claiming) {
             keeper.phase = keeper_phase::reading;
             keeper.term = event.version;
-            keeper.order_sequence = 0;
+            if (keeper.delegates.empty()) {
+                keeper.order_sequence = 0;
+            }
             step.add(log_line{
                 false,
                 "keeper_started",
@@ -284,7 +384,7 @@
             keeper.changed.try_emplace(service, assignment);
         }
         keeper.next_write = step.now + store_retry;
-        if (keeper.phase == keeper_phase::claiming) {
+        if (keeper.phase == keeper_phase::claiming && !retry_restored_claim(step)) {
             step_down(step, "store refused the claim");
         }
         return;
@@ -296,7 +396,9 @@
                       "lease_write_unresolved",
                       {text_field("outcome", event.outcome == write_outcome::conflict ? "conflict" : "unknown")}});
     if (keeper.phase == keeper_phase::claiming) {
-        step_down(step, "claim not confirmed");
+        if (!retry_restored_claim(step)) {
+            step_down(step, "claim not confirmed");
+        }
         return;
     }
     keeper.phase = keeper_phase::reading;
@@ -322,6 +424,7 @@
 void run_keeper(step& step) {
     auto& keeper = step.state.keeper;
     check_pause(step);
+    check_restoration(step);
     if (has_new_incarnation(step.state, keeper.former_holder, keeper.former_incarnation)) {
         note_former_holder_ended(keeper, step.now);
     }
@@ -353,7 +456,7 @@
         }
     }
     // A write that is carried out late must not replace an owner that was granted its keys meanwhile.
-    if (may_change(step) && !keeper.write_unresolved) {
+    if (may_move(step) && !keeper.write_unresolved) {
         plan_all(step);
         for (const auto& [name, record] : step.state.services) {
             for (const auto& range : record.assignment.ranges) {
--- a/source/routing/keeper_plan.cpp
+++ b/source/routing/keeper_plan.cpp
@@ -109,7 +109,7 @@
         if (!has_settled(step, service)) {
             return;
         }
-        next = first_assignment(eligible);
+        next = first_assignment(eligible, keeper.token_floor + 1);
         if (!next.ranges.empty()) {
             keeper.changed[service] = std::move(next);
         }
@@ -171,6 +171,10 @@
 }
 
 void renew_fence(step& step, const range_id& id) {
+    if (step.now < step.state.keeper.moves_from) {
+        // The higher token may be of a grant that the store has lost, and the keys may be held elsewhere.
+        return;
+    }
     auto next = newest_assignment(step, id.service);
     for (auto& range : next.ranges) {
         if (range.first == id.first && range.fence == id.fence) {
@@ -184,14 +188,15 @@
 void renew_former_fences(step& step) {
     auto& keeper = step.state.keeper;
     for (const auto& [name, record] : step.state.services) {
-        const auto first = keeper.first_tokens.try_emplace(name, record.assignment.next_fence).first->second;
         auto next = record.assignment;
+        next.next_fence = std::max(next.next_fence, keeper.token_floor + 1);
+        const auto first = keeper.first_tokens.try_emplace(name, next.next_fence).first->second;
         for (auto& range : next.ranges) {
             if (!range.moving() && range.fence < first) {
                 range.fence = next.next_fence++;
             }
         }
-        if (next != record.assignment) {
+        if (next.ranges != record.assignment.ranges) {
             keeper.changed[name] = std::move(next);
         }
     }
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -167,6 +167,12 @@
 inline constexpr std::chrono::microseconds first_check_delay = 50ms;
 inline constexpr std::chrono::microseconds first_check_spread = 100ms;
 
+/// After a restoration of the store, its first lease is left for this long to the keeper before the restoration, which
+/// knows what the store has lost.
+inline constexpr std::chrono::microseconds restored_lease_delay = 1500ms;
+/// How long after the end of its lease a keeper still knows all grants, as no other one can have moved keys by then.
+inline constexpr std::chrono::milliseconds complete_knowledge_time = renewal_extension - lease_time;
+
 /// Pause after the store refused a call.
 inline constexpr std::chrono::microseconds store_retry = 200ms;
 
--- a/source/routing/plan.cpp
+++ b/source/routing/plan.cpp
@@ -177,8 +177,9 @@
     return low;
 }
 
-assignment first_assignment(const std::vector<candidate>& candidates) {
+assignment first_assignment(const std::vector<candidate>& candidates, std::uint64_t first_fence) {
     assignment result;
+    result.next_fence = first_fence;
     const auto count = static_cast<std::uint32_t>(std::min<std::size_t>(candidates.size(), key_count));
     for (std::uint32_t at = 0; at < count; ++at) {
         key_range range;
--- a/source/routing/plan.hpp
+++ b/source/routing/plan.hpp
@@ -58,7 +58,7 @@
 };
 
 /// The first assignment: equal shares for all candidates. Empty without candidates.
-[[nodiscard]] assignment first_assignment(const std::vector<candidate>& candidates);
+[[nodiscard]] assignment first_assignment(const std::vector<candidate>& candidates, std::uint64_t first_fence = 1);
 
 /// Moves the ranges that must move to the least loaded candidates; false if nothing changed.
 [[nodiscard]] bool move_lost_ranges(assignment& assignment, const plan_inputs& inputs);
--- a/source/routing/readers.cpp
+++ b/source/routing/readers.cpp
@@ -8,6 +8,7 @@
 #include "routing/keeper.hpp"
 #include "routing/log_fields.hpp"
 #include "routing/servers.hpp"
+#include "routing/store_version.hpp"
 #include "routing/table_copy.hpp"
 
 namespace lovagetack::routing {
@@ -253,6 +254,7 @@
     const auto sender = state.instances.find(event.sender);
     const bool is_remote = sender == state.instances.end() || sender->second.data_centre != state.self.data_centre;
     const bool is_news = event.change.version > state.readers.versions.at(index_of(event.change.table));
+    note_store_era(step, era_of(event.change.version));
     step.add(apply_table_change{event.change});
     if (is_remote && is_news && is_large(state) && state.readers.reads) {
         rank_instances(state);
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -22,6 +22,10 @@
     set_store_reachable(step, event.reachable);
 }
 
+void on(step& step, const store_era_seen& event) {
+    note_store_era(step, event.era);
+}
+
 void on(step& step, const configuration_updated& event) {
     if (event.configuration.version <= step.state.configuration.version) {
         return;
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -133,6 +133,26 @@
     step.add(log_line{false, "backend_server_removed", {text_field("server", id.value())}});
 }
 
+void note_store_era(step& step, std::uint64_t era) {
+    auto& state = step.state;
+    if (!state.store_era) {
+        state.store_era = era;
+        return;
+    }
+    if (era <= *state.store_era) {
+        return;
+    }
+    step.add(
+        log_line{true, "store_restored", {number_field("era", era), number_field("former_era", *state.store_era)}});
+    state.store_era = era;
+    state.store_restored_at = step.now;
+    state.registry_incomplete_until = step.now + registry_return;
+}
+
+bool is_being_rewritten(const state& state, base::boot_time now) {
+    return state.store_restored_at != base::boot_time() && now - state.store_restored_at < registry_return;
+}
+
 void set_store_reachable(step& step, bool reachable) {
     if (step.state.store_reachable == reachable) {
         return;
@@ -161,6 +181,9 @@
     if (!state.store_reachable || step.now >= state.registry_incomplete_until) {
         return;
     }
+    if (is_being_rewritten(state, step.now)) {
+        return;
+    }
     // This instance notices an outage late, so one that ended shortly before does not count as contact.
     if (step.now - contact + registry_return > state.store_lost_at) {
         return;
--- a/source/routing/servers.hpp
+++ b/source/routing/servers.hpp
@@ -11,6 +11,11 @@
 /// Marks a server as unregistered; during and shortly after an outage of the store, only as missing.
 void remove_server(step& step, const model::backend_server_id& id);
 /// Records whether the store answers.
+/// Notes the store's era. After a restoration, what the store no longer has is kept until it was written again.
+void note_store_era(step& step, std::uint64_t era);
+/// Whether operators and backend servers may still be writing again what a restoration of the store has lost.
+[[nodiscard]] bool is_being_rewritten(const state& state, base::boot_time now);
+
 void set_store_reachable(step& step, bool reachable);
 /// How long this instance has reached the store without a break; 0 while it does not.
 [[nodiscard]] std::chrono::milliseconds store_contact(const state& state, base::boot_time now);
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -274,6 +274,12 @@
     base::boot_time asked_at;
     base::boot_time answered_at;
     base::boot_time renewed_at;
+    /// Fencing tokens are above this one: a restoration of the store has lost those that were issued after its copy.
+    std::uint64_t token_floor = 0;
+    /// Not before these times may grants be sent, and keys be moved: until then servers may hold keys by grants that a
+    /// restoration of the store has lost.
+    base::boot_time grants_from;
+    base::boot_time moves_from;
     /// The previous holder, and the time until which it may still renew grants.
     model::instance_id former_holder;
     std::uint64_t former_incarnation = 0;
@@ -416,6 +422,10 @@
     /// After an outage of the store, servers that are missing in the registry may return until this time.
     base::boot_time registry_incomplete_until;
     bool store_reachable = true;
+    /// Nothing until an answer of the store has shown its era.
+    std::optional<std::uint64_t> store_era;
+    /// When a new era was first seen.
+    base::boot_time store_restored_at;
     /// When the store was last lost, and since when it has been reachable.
     base::boot_time store_lost_at;
     base::boot_time store_reached_since;
--- a/source/routing/table_copy.cpp
+++ b/source/routing/table_copy.cpp
@@ -3,8 +3,14 @@
 #include <algorithm>
 #include <set>
 
+#include "routing/store_version.hpp"
+
 namespace lovagetack::routing {
 
+bool table_copy::follows(const table_change& change, std::uint64_t version) {
+    return era_of(change.version) == era_of(version) ? change.base <= version : change.base == version;
+}
+
 bool table_copy::is_news(const table_row& row) const {
     const auto known = versions_.find(row.key);
     const auto removed = removed_versions_.find(row.key);
@@ -86,13 +92,16 @@
 table_change table_copy::apply_message(const table_change& change) {
     table_change news = change;
     news.rows.clear();
+    if (era_of(change.version) > era_of(version_) && !follows(change, version_)) {
+        return news;
+    }
     for (const auto& row : change.rows) {
         if (is_news(row)) {
             take_over(row);
             news.rows.push_back(row);
         }
     }
-    if (change.base <= version_ && change.version > version_) {
+    if (follows(change, version_) && change.version > version_) {
         version_ = change.version;
         remember(change);
     }
@@ -106,7 +115,7 @@
         if (change.version <= version) {
             continue;
         }
-        complete = complete || change.base <= version;
+        complete = complete || follows(change, version);
         found.push_back(change);
     }
     if (!complete) {
--- a/tests/operators_platform/store_test.cpp
+++ b/tests/operators_platform/store_test.cpp
@@ -27,6 +27,11 @@
                      .toJson(QJsonDocument::Compact)};
 }
 
+fake_answer in_era(int era, fake_answer answer) {
+    answer.fields = "Store-Era: " + QByteArray::number(era) + "\r\n";
+    return answer;
+}
+
 const QByteArray server_value = R"({"address": "10.128.0.9:8080", "born": 5,
     "info": {"service": "s1", "zone": "mahebourg", "slots": 2}, "status": {"state": "ready"}})";
 
@@ -99,6 +104,79 @@
     REQUIRE(removed[0].id.value() == "i-1");
 }
 
+// Guards against following a store from a version that it does not have any more, or that it has given out again.
+TEST_CASE("a table is read again when the store has come back from a copy") {
+    const bool number_was_given_again = GENERATE(false, true);
+    fixture test;
+    int feed_calls = 0;
+    std::vector<QString> followed;
+    test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
+        const int era = feed_calls == 0 ? 1 : 2;
+        if (request.path.contains("rows-tx")) {
+            return in_era(era, {200, R"({"ver": 1, "now_ms": 1})"});
+        }
+        if (!request.path.contains("table=servers")) {
+            return request.path.contains("rows-feed") ? std::nullopt : std::optional(in_era(era, rows({}, 5)));
+        }
+        if (request.path.contains("rows-get")) {
+            return era == 1
+                       ? in_era(
+                             1,
+                             rows({row("servers", "i-1", server_value, 5), row("servers", "i-2", server_value, 8)}, 8))
+                       : in_era(2, rows({row("servers", "i-1", server_value, 5)}, 6));
+        }
+        ++feed_calls;
+        followed.push_back(request.path);
+        switch (feed_calls) {
+        case 1:
+            return number_was_given_again ? in_era(2, rows({row("servers", "i-4", server_value, 9)}, 9))
+                                          : in_era(2, {410, "{}"});
+        case 2:
+            return in_era(2, rows({row("servers", "i-3", server_value, 7)}, 7));
+        default:
+            return std::nullopt;
+        }
+    };
+    test.client->start({});
+    test.client->execute(routing::follow_store{true});
+    REQUIRE(platform::wait_until([&] { return feed_calls >= 3; }));
+    REQUIRE(followed[1].contains("after=6&"));
+    REQUIRE(followed[2].contains("after=7&"));
+    const auto removed = test.all<routing::backend_server_removed>();
+    REQUIRE(removed.size() == 1);
+    REQUIRE(removed[0].id.value() == "i-2");
+    REQUIRE(test.all<routing::backend_server_updated>().back().server.id.value() == "i-3");
+    const auto eras = test.all<routing::store_era_seen>();
+    REQUIRE(eras.size() == 2);
+    REQUIRE(eras.back().era == 2);
+}
+
+// Guards against two keepers: a write of the former era would find the version that it expects, given out again.
+TEST_CASE("each era of the store has a lease of its own") {
+    fixture test;
+    QJsonArray written;
+    test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
+        if (request.path.contains("rows-tx")) {
+            written.append(QJsonDocument::fromJson(request.body).object().value("expect").toArray().at(0));
+            return in_era(3, {200, R"({"ver": 13, "now_ms": 777})"});
+        }
+        return in_era(3, rows({row("lovagetack-lease", "keeper", R"({"holder":"two","until":900})", 4)}, 12));
+    };
+    test.client->execute(routing::read_lease{});
+    REQUIRE(platform::wait_until([&] { return !test.all<routing::lease_read>().empty(); }));
+    const auto read = test.all<routing::lease_read>().front();
+    REQUIRE_FALSE(read.lease);
+    REQUIRE(read.store_was_restored);
+    REQUIRE(read.version == routing::store_version(3, 0).ordered());
+    routing::write_rows effect;
+    effect.expected_lease_version = read.version;
+    test.client->execute(effect);
+    REQUIRE(platform::wait_until([&] { return !test.all<routing::rows_written>().empty(); }));
+    REQUIRE(test.all<routing::rows_written>().front().version == routing::store_version(3, 13).ordered());
+    REQUIRE(written.at(0).toObject().value("key").toString() == "keeper/3");
+    REQUIRE(written.at(0).toObject().value("ver").toInt() == 0);
+}
+
 // Guards against a configuration that stays unknown for seconds after an outage: a call that waits long and was sent
 // while the store was silent is never answered.
 TEST_CASE("calls for changes are short after a failure until the store answers again") {
--- a/tests/platform/fake_http_server.hpp
+++ b/tests/platform/fake_http_server.hpp
@@ -42,6 +42,8 @@
 struct fake_answer {
     int status = 200;
     QByteArray body;
+    /// Complete field lines.
+    QByteArray fields;
 };
 
 /// HTTP server for tests. The handler's answer is sent at once; without one the request is never answered.
@@ -97,8 +99,8 @@
         received.remove(0, end + 4 + length);
         const auto answer = on_request_(request);
         if (answer) {
-            socket.write("HTTP/1.1 " + QByteArray::number(answer->status) + " X\r\nContent-Length: " +
-                         QByteArray::number(answer->body.size()) + "\r\n\r\n" + answer->body);
+            socket.write("HTTP/1.1 " + QByteArray::number(answer->status) + " X\r\n" + answer->fields +
+                         "Content-Length: " + QByteArray::number(answer->body.size()) + "\r\n\r\n" + answer->body);
         }
         return true;
     }
--- a/tests/routing/deployment.cpp
+++ b/tests/routing/deployment.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "routing/store_version.hpp"
+
 namespace lovagetack::routing::testing {
 namespace {
 
@@ -124,6 +126,7 @@
         });
         return;
     }
+    deliver(instance, target.start_number, store_delay, store_era_seen{era_});
     deliver(instance, target.start_number, store_delay, configuration_updated{service_configuration()});
     deliver(instance, target.start_number, store_delay, evacuations_updated{evacuated_});
     for (const auto& server : servers_) {
@@ -132,9 +135,9 @@
         }
     }
     deliver(instance, target.start_number, store_delay, registry_complete{});
-    if (assignment_version_ > 0) {
+    if (store_.assignment_version > 0) {
         deliver(instance, target.start_number, store_delay,
-                assignment_learned{keyed_service, assignment_version_, assignment_});
+                assignment_learned{keyed_service, store_.assignment_version, store_.assignment});
     }
     deliver(instance, target.start_number, store_delay, assignments_complete{});
     const auto& self = target.state->self;
@@ -234,6 +237,26 @@
     return from == to || (!cut_data_centres_.contains(from) && !cut_data_centres_.contains(to));
 }
 
+void deployment::restore_store(std::chrono::microseconds age) {
+    const auto newer = std::find_if(copies_.begin(), copies_.end(),
+                                    [&](const store_content& copy) { return copy.written_at > now_ - age; });
+    store_ = newer == copies_.begin() ? store_content{} : *std::prev(newer);
+    copies_.erase(newer, copies_.end());
+    ++era_;
+    for (int number = 0; number < instances(); ++number) {
+        if (!instances_[index(number)].runs || !store_reached_by(number)) {
+            continue;
+        }
+        const std::chrono::milliseconds delay(5 + random_() % 400);
+        const int start_number = instances_[index(number)].start_number;
+        deliver(number, start_number, delay, store_era_seen{era_});
+        if (store_.assignment_version > 0) {
+            deliver(number, start_number, delay,
+                    assignment_learned{keyed_service, store_.assignment_version, store_.assignment});
+        }
+    }
+}
+
 void deployment::lose_answers(double share, bool late) {
     lost_answer_share_ = share;
     late_writes_ = late;
@@ -515,10 +538,12 @@
     }
     at(store_delay / 2, [this, instance, start_number = target.start_number, answer]() mutable {
         answer.answered = true;
-        answer.version = lease_version_;
         answer.store_time = store_time();
-        if (lease_version_ > 0) {
-            answer.lease = lease_;
+        answer.store_was_restored = era_ > 0;
+        const auto row = store_.leases.find(era_);
+        answer.version = store_version(era_, row == store_.leases.end() ? 0 : row->second.version).ordered();
+        if (row != store_.leases.end()) {
+            answer.lease = row->second.lease;
         }
         deliver(instance, start_number, store_delay / 2, answer);
     });
@@ -531,9 +556,9 @@
         return;
     }
     at(store_delay / 2, [this, instance, start_number = target.start_number] {
-        if (assignment_version_ > 0) {
+        if (store_.assignment_version > 0) {
             deliver(instance, start_number, store_delay / 2,
-                    assignment_learned{keyed_service, assignment_version_, assignment_});
+                    assignment_learned{keyed_service, store_.assignment_version, store_.assignment});
         }
         deliver(instance, start_number, store_delay / 2, assignments_read{true});
     });
@@ -541,28 +566,32 @@
 
 void deployment::execute(int instance, const refresh_assignments& /*effect*/) {
     const auto& target = instances_[index(instance)];
-    if (!store_reached_by(instance) || assignment_version_ == 0) {
+    if (!store_reached_by(instance) || store_.assignment_version == 0) {
         return;
     }
     at(store_delay / 2, [this, instance, start_number = target.start_number] {
         deliver(instance, start_number, store_delay / 2,
-                assignment_learned{keyed_service, assignment_version_, assignment_});
+                assignment_learned{keyed_service, store_.assignment_version, store_.assignment});
     });
 }
 
 write_outcome deployment::commit(const write_rows& effect, std::uint64_t& version) {
-    if (effect.expected_lease_version != lease_version_) {
+    const auto expected = store_version::from_ordered(effect.expected_lease_version);
+    const auto row = store_.leases.find(expected.era());
+    if (expected.number() != (row == store_.leases.end() ? 0 : row->second.version)) {
         return write_outcome::conflict;
     }
     ++writes_;
-    version = ++version_;
-    lease_version_ = version;
-    lease_ = effect.lease;
+    ++store_.version;
+    store_.written_at = now_;
+    version = store_version(era_, store_.version).ordered();
+    store_.leases[expected.era()] = {store_.version, effect.lease};
     for (const auto& [service, changed] : effect.assignments) {
-        assignment_ = changed;
-        assignment_version_ = version;
-        deliver_to_all(assignment_learned{service, version, changed});
+        store_.assignment = changed;
+        store_.assignment_version = store_version(changed.era, store_.version).ordered();
+        deliver_to_all(assignment_learned{service, store_.assignment_version, changed});
     }
+    copies_.push_back(store_);
     return write_outcome::written;
 }
 
--- a/tests/routing/deployment.hpp
+++ b/tests/routing/deployment.hpp
@@ -59,6 +59,8 @@
     /// Cuts a data centre off from the store and the other data centres.
     void set_data_centre_cut(int data_centre, bool cut);
     void set_store_down(bool down) { store_down_ = down; }
+    /// Brings the store back from a copy of the given age, in a new era. Instances see it within 400 ms.
+    void restore_store(std::chrono::microseconds age);
     /// Share of the writes whose answers are lost although the writes are done; `late`: they are done seconds later.
     void lose_answers(double share, bool late);
     /// Share of the grants that get no answer and take effect after `shortest` to 4 s more.
@@ -85,7 +87,7 @@
     /// Share of the keys that a running server holds.
     [[nodiscard]] double held_share() const;
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
-    [[nodiscard]] const routing::assignment& assignment() const { return assignment_; }
+    [[nodiscard]] const routing::assignment& assignment() const { return store_.assignment; }
     [[nodiscard]] std::uint64_t writes() const { return writes_; }
     /// Number of grants that the instance has sent.
     [[nodiscard]] std::uint64_t grants_sent_by(int instance) const {
@@ -173,11 +175,21 @@
     double slow_connection_share_ = 0;
     std::set<model::data_centre_id> cut_data_centres_;
     double lost_message_share_ = 0;
-    std::uint64_t version_ = 0;
-    std::uint64_t lease_version_ = 0;
-    keeper_lease lease_;
-    std::uint64_t assignment_version_ = 0;
-    routing::assignment assignment_;
+    struct lease_row {
+        std::uint64_t version = 0;
+        keeper_lease lease;
+    };
+    /// Rows of the store. Each era has a lease of its own.
+    struct store_content {
+        base::boot_time written_at;
+        std::uint64_t version = 0;
+        std::map<std::uint64_t, lease_row> leases;
+        std::uint64_t assignment_version = 0;
+        routing::assignment assignment;
+    };
+    std::uint64_t era_ = 0;
+    store_content store_;
+    std::vector<store_content> copies_;
     std::uint64_t writes_ = 0;
     std::vector<std::string> violations_;
     /// Grants and releases of ranges, for the messages about violations.
--- a/tests/routing/knowledge_test.cpp
+++ b/tests/routing/knowledge_test.cpp
@@ -233,4 +233,17 @@
     REQUIRE(first_check(200) < first_check(100));
 }
 
+TEST_CASE("a server that a restored store does not show is kept until it can have registered again") {
+    auto state = instance_of("south", 0);
+    const auto now = base::boot_time(2s);
+    const auto server = server_of("a", keyed_service);
+    process_event(state, now, store_era_seen{1});
+    process_event(state, now, backend_server_updated{server});
+    process_event(state, now + 5s, store_era_seen{2});
+    process_event(state, now + 5s, backend_server_removed{server.id});
+    REQUIRE(state.servers.at(server.id).registered);
+    process_event(state, now + 5s + registry_return, ticked{});
+    REQUIRE_FALSE(state.servers.at(server.id).registered);
+}
+
 } // namespace lovagetack::routing::testing
--- a/tests/routing/ownership_partition_test.cpp
+++ b/tests/routing/ownership_partition_test.cpp
@@ -19,7 +19,8 @@
 /// Faults that begin and end independently, so that partitions, shutdowns and late grants overlap.
 class overlapping_faults {
 public:
-    overlapping_faults(deployment& deployment, std::uint64_t seed) : deployment_(deployment), random_(seed * 104729) {}
+    overlapping_faults(deployment& deployment, std::uint64_t seed, bool restores_store = false)
+        : deployment_(deployment), random_(seed * 104729), kinds_(restores_store ? 17 : 14) {}
 
     void play() {
         deployment_.run_for(4s);
@@ -44,7 +45,7 @@
 
     void begin_one() {
         const int instance = some_instance();
-        switch (below(14)) {
+        switch (below(kinds_)) {
         case 0:
             deployment_.kill(instance);
             break;
@@ -83,14 +84,19 @@
         case 12:
             deployment_.crash_server(some_server());
             break;
-        default:
+        case 13:
             deployment_.restart_server(some_server());
             break;
+        default:
+            deployment_.set_store_down(false);
+            deployment_.restore_store(std::chrono::milliseconds(below(12000)));
+            break;
         }
     }
 
     deployment& deployment_;
     std::mt19937_64 random_;
+    std::uint32_t kinds_;
 };
 
 void require_single_ownership(const deployment& deployment) {
@@ -238,4 +244,64 @@
     require_single_ownership(deployment);
 }
 
+TEST_CASE("ownership stays single when the store comes back from a copy") {
+    const auto seed = GENERATE(range(1, last_seed + 1));
+    INFO("seed " << seed);
+    deployment deployment(7, 9, static_cast<std::uint64_t>(seed));
+    overlapping_faults(deployment, static_cast<std::uint64_t>(seed), true).play();
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("ownership stays single when the store of a large deployment comes back from a copy") {
+    const auto seed = GENERATE(range(1, last_large_seed + 1));
+    INFO("seed " << seed);
+    deployment deployment(20, 40, static_cast<std::uint64_t>(seed));
+    overlapping_faults(deployment, static_cast<std::uint64_t>(seed), true).play();
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("the keeper goes on when the store comes back from a copy that does not have its lease") {
+    const int instances = GENERATE(9, 24);
+    const auto seed = GENERATE(range(1, 12));
+    INFO("seed " << seed);
+    deployment deployment(instances, 12, static_cast<std::uint64_t>(seed));
+    deployment.run_for(5s);
+    deployment.kill(deployment.keeper());
+    deployment.run_for(6s);
+    const int keeper = deployment.keeper();
+    const auto assignment = deployment.assignment();
+    deployment.set_store_down(true);
+    deployment.run_for(2s);
+    deployment.set_store_down(false);
+    deployment.restore_store(9s);
+    for (int step = 0; step < 60; ++step) {
+        deployment.run_for(100ms);
+        REQUIRE(deployment.held_share() == 1.0);
+    }
+    REQUIRE(deployment.keeper() == keeper);
+    REQUIRE(deployment.assignment().ranges == assignment.ranges);
+    deployment.run_for(12s);
+    deployment.drain_server(2);
+    deployment.run_for(2s);
+    REQUIRE(deployment.held_share() == 1.0);
+    for (const auto& range : deployment.assignment().ranges) {
+        REQUIRE(range.owner != model::backend_server_id("server-2"));
+    }
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("keys are served again after the keeper is lost together with what the store had") {
+    const auto seed = GENERATE(range(1, 12));
+    INFO("seed " << seed);
+    deployment deployment(9, 8, static_cast<std::uint64_t>(seed));
+    deployment.run_for(5s);
+    deployment.drain_server(3);
+    deployment.run_for(2s);
+    deployment.kill(deployment.keeper());
+    deployment.restore_store(4s);
+    deployment.run_for(18s);
+    REQUIRE(deployment.held_share() == 1.0);
+    require_single_ownership(deployment);
+}
+
 } // namespace lovagetack::routing::testing
