routing, platform: what a restored store no longer shows is kept until it can have been written again

A restored store lacks evacuations, registrations and rows of instances that were written after its copy, and shows entries that servers have replaced since: a server that leaves or has left would get new work, and an evacuated data centre, too.

Cause: what the store shows was taken for the newest state.

An entry of a run or sequence before the known one is ignored. An instance that sees its own row removed, or that of a former run, writes it again.

--- a/source/routing/catalogue.hpp
+++ b/source/routing/catalogue.hpp
@@ -84,6 +84,8 @@
     bool draining = false;
     /// Remaining time during which the server can handle only the service's cold rate.
     std::chrono::milliseconds cold_time_left{0};
+    /// Grows with each report of the server in one run; 0 if not given.
+    std::uint64_t sequence = 0;
 
     bool operator==(const backend_server&) const = default;
 };
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -179,6 +179,7 @@
 
 void on(step& step, const ticked& /*event*/) {
     remove_missing(step);
+    end_missing_evacuations(step);
     remove_silent_peers(step);
     run_renewals(step);
     run_readers(step);
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -82,12 +82,25 @@
     return true;
 }
 
+/// Whether the server has replaced the entry or has left since. A restored store shows such entries.
+bool is_older(const step& step, const backend_server& entry, const server_record& known) {
+    const auto& newest = known.registration;
+    if (entry.born != newest.born) {
+        return entry.born < newest.born && is_being_rewritten(step.state, step.now);
+    }
+    const bool has_left = !known.registered && entry.sequence > 0;
+    return entry.sequence < newest.sequence || (has_left && entry.sequence == newest.sequence);
+}
+
 } // namespace
 
 void update_server(step& step, const backend_server& server) {
-    step.state.missing_servers.erase(server.id);
     auto [found, is_new] = step.state.servers.try_emplace(server.id);
     auto& record = found->second;
+    if (!is_new && is_older(step, server, record)) {
+        return;
+    }
+    step.state.missing_servers.erase(server.id);
     const bool needs_reset = is_new || !record.registered || record.registration.born != server.born;
     if (needs_reset) {
         forget_groups(step.state);
@@ -203,7 +216,11 @@
     }
 }
 
-void update_evacuations(step& step, const std::set<model::data_centre_id>& data_centres) {
+void update_evacuations(step& step, std::set<model::data_centre_id> data_centres) {
+    step.state.shown_evacuations = data_centres;
+    if (is_being_rewritten(step.state, step.now)) {
+        data_centres.insert(step.state.evacuated.begin(), step.state.evacuated.end());
+    }
     if (step.state.evacuated == data_centres) {
         return;
     }
@@ -222,6 +239,12 @@
     step.add(log_line{false, "evacuations_changed", {text_field("data_centres", names)}});
 }
 
+void end_missing_evacuations(step& step) {
+    if (step.state.evacuated != step.state.shown_evacuations && !is_being_rewritten(step.state, step.now)) {
+        update_evacuations(step, step.state.shown_evacuations);
+    }
+}
+
 bool is_cold(const server_record& server, base::boot_time now) {
     return server.cold_until > now;
 }
--- a/source/routing/servers.hpp
+++ b/source/routing/servers.hpp
@@ -25,7 +25,9 @@
 /// Removes the servers that are still missing registry_return after an outage of the store.
 void remove_missing(step& step);
 /// Replaces the set of evacuated data centres.
-void update_evacuations(step& step, const std::set<model::data_centre_id>& data_centres);
+void update_evacuations(step& step, std::set<model::data_centre_id> data_centres);
+/// Ends evacuations that the operators have not written again after a restoration of the store.
+void end_missing_evacuations(step& step);
 
 [[nodiscard]] bool is_cold(const server_record& server, base::boot_time now);
 
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -419,6 +419,9 @@
 
     routing::configuration configuration;
     std::set<model::data_centre_id> evacuated;
+    /// Evacuations as the store shows them. Those that it no longer shows after its restoration stay in force until the
+    /// operators have had time to write them again.
+    std::set<model::data_centre_id> shown_evacuations;
     /// After an outage of the store, servers that are missing in the registry may return until this time.
     base::boot_time registry_incomplete_until;
     bool store_reachable = true;
--- a/tests/operators_platform/store_test.cpp
+++ b/tests/operators_platform/store_test.cpp
@@ -151,6 +151,30 @@
     REQUIRE(eras.back().era == 2);
 }
 
+TEST_CASE("an instance writes its record again when a restored store has lost it") {
+    fixture test;
+    int writes = 0;
+    int feed_calls = 0;
+    test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
+        const int era = feed_calls == 0 ? 1 : 2;
+        if (request.path.contains("rows-tx")) {
+            ++writes;
+            return in_era(era, {200, R"({"ver": 1, "now_ms": 1})"});
+        }
+        if (!request.path.contains("table=lovagetack")) {
+            return request.path.contains("rows-feed") ? std::nullopt : std::optional(in_era(era, rows({}, 5)));
+        }
+        if (request.path.contains("rows-get")) {
+            return era == 1 ? in_era(1, rows({row("lovagetack", "instance/one", "{}", 8)}, 8)) : in_era(2, rows({}, 6));
+        }
+        ++feed_calls;
+        return feed_calls == 1 ? std::optional(in_era(2, {410, "{}"})) : std::nullopt;
+    };
+    test.client->start({});
+    test.client->execute(routing::follow_store{true});
+    REQUIRE(platform::wait_until([&] { return feed_calls >= 2 && writes >= 2; }));
+}
+
 // Guards against two keepers: a write of the former era would find the version that it expects, given out again.
 TEST_CASE("each era of the store has a lease of its own") {
     fixture test;
--- a/tests/routing/knowledge_test.cpp
+++ b/tests/routing/knowledge_test.cpp
@@ -233,6 +233,57 @@
     REQUIRE(first_check(200) < first_check(100));
 }
 
+TEST_CASE("an evacuation that a restored store has lost stays in force until it can have been written again") {
+    auto state = instance_of("south", 0);
+    const std::set<model::data_centre_id> north{model::data_centre_id("north")};
+    auto now = base::boot_time(2s);
+    process_event(state, now, store_era_seen{1});
+    process_event(state, now, evacuations_updated{north});
+    process_event(state, now, store_era_seen{2});
+    process_event(state, now, evacuations_updated{{}});
+    REQUIRE(state.evacuated == north);
+    process_event(state, now + registry_return / 2, ticked{});
+    REQUIRE(state.evacuated == north);
+    process_event(state, now + registry_return, ticked{});
+    REQUIRE(state.evacuated.empty());
+    // In a store that was not restored, an evacuation ends at once.
+    now += 10s;
+    process_event(state, now, evacuations_updated{north});
+    process_event(state, now, evacuations_updated{{}});
+    REQUIRE(state.evacuated.empty());
+}
+
+TEST_CASE("entries of a restored store do not bring back a server that is leaving or has left") {
+    auto state = instance_of("south", 0);
+    const auto now = base::boot_time(2s);
+    process_event(state, now, store_era_seen{1});
+    auto server = server_of("a", keyed_service);
+    server.sequence = 4;
+    process_event(state, now, backend_server_updated{server});
+    const auto old_entry = server;
+    server.sequence = 9;
+    server.draining = true;
+    process_event(state, now, backend_server_updated{server});
+    process_event(state, now, store_era_seen{2});
+    process_event(state, now, backend_server_updated{old_entry});
+    const auto& record = state.servers.at(server.id);
+    REQUIRE(record.leaving_since);
+    process_event(state, now + 4s, backend_server_removed{server.id});
+    REQUIRE_FALSE(record.registered);
+    process_event(state, now + 4s, store_era_seen{3});
+    process_event(state, now + 4s, backend_server_updated{old_entry});
+    process_event(state, now + 4s, backend_server_updated{server});
+    REQUIRE_FALSE(record.registered);
+    server.born += 1;
+    server.sequence = 0;
+    server.draining = false;
+    process_event(state, now + 5s, backend_server_updated{server});
+    REQUIRE(record.registered);
+    // The run before.
+    process_event(state, now + 5s, backend_server_updated{old_entry});
+    REQUIRE(record.registration.born == server.born);
+}
+
 TEST_CASE("a server that a restored store does not show is kept until it can have registered again") {
     auto state = instance_of("south", 0);
     const auto now = base::boot_time(2s);
