--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "routing/limits.hpp"
 #include "routing/readers.hpp"
 #include "routing/reduce.hpp"
+#include "routing/store_version.hpp"
 #include "routing/table_copy.hpp"
 
 namespace lovagetack::gateway {
@@ -29,6 +30,10 @@
 /// instances.
 constexpr std::size_t connections_per_server = 8;
 
+std::uint64_t number_of(std::uint64_t ordered_version) {
+    return routing::store_version::from_ordered(ordered_version).number();
+}
+
 std::size_t caller_connections(const settings& values) {
     return values.descriptors > 2 * reserved_descriptors ? values.descriptors - reserved_descriptors
                                                          : values.descriptors / 2;
@@ -197,17 +202,19 @@
     for (const auto& [code, count] : state_.refused) {
         refused += count;
     }
-    log_event(false, "requests_summary",
-              {{"delivered", std::to_string(state_.delivered)},
-               {"not_delivered", std::to_string(refused)},
-               {"retries", std::to_string(state_.retries)},
-               {"open", std::to_string(state_.exchanges.size())},
-               {"configuration", std::to_string(state_.configuration.version)},
-               {"registry", std::to_string(routing::table_version(state_, routing::followed_table::registry))},
-               {"reader", routing::nearest_reader(state_).value()},
-               {"instances_heard", std::to_string(state_.peers.size())},
-               {"store_calls", std::to_string(store_->counters().calls)},
-               {"store_failures", std::to_string(store_->counters().failures)}});
+    log_event(
+        false, "requests_summary",
+        {{"delivered", std::to_string(state_.delivered)},
+         {"not_delivered", std::to_string(refused)},
+         {"retries", std::to_string(state_.retries)},
+         {"open", std::to_string(state_.exchanges.size())},
+         {"configuration", std::to_string(state_.configuration.version)},
+         {"registry", std::to_string(number_of(routing::table_version(state_, routing::followed_table::registry)))},
+         {"store_era", std::to_string(state_.store_era.value_or(0))},
+         {"reader", routing::nearest_reader(state_).value()},
+         {"instances_heard", std::to_string(state_.peers.size())},
+         {"store_calls", std::to_string(store_->counters().calls)},
+         {"store_failures", std::to_string(store_->counters().failures)}});
 }
 
 std::string gateway::metrics_text() {
@@ -231,8 +238,9 @@
     gauge("lovagetack_dispatcher_queue", {}, routing::queued_asks(state_));
     for (const auto table : routing::followed_tables) {
         gauge("lovagetack_table_version", {{"table", std::string(routing::name_of(table))}},
-              routing::table_version(state_, table));
+              number_of(routing::table_version(state_, table)));
     }
+    gauge("lovagetack_store_era", {}, state_.store_era.value_or(0));
     gauge("lovagetack_store_reachable", {}, state_.store_reachable ? 1 : 0);
     gauge("lovagetack_store_calls_total", {}, store_->counters().calls);
     gauge("lovagetack_store_failures_total", {}, store_->counters().failures);
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -370,7 +370,7 @@
             step.add(log_line{
                 false,
                 "keeper_started",
-                {number_field("lease_version", keeper.lease_version),
+                {number_field("lease_version", store_version::from_ordered(keeper.lease_version).number()),
                  text_field("former", keeper.former_holder.value()),
                  number_field("former_right_ms", in_milliseconds(keeper.former_renewals_until - step.now)),
                  number_field("earlier_right_ms", in_milliseconds(keeper.earlier_renewals_until - step.now))}});
