platform, routing: the first lease of an era replaces those of the former eras

Cause: the copy may have the lease of the former era in the very version, or absence, that a late write of that era expects; the write then overwrote the assignments. And an instance that has not seen another era did not know that the era is new.

Change: the first lease of an era is written together with the rows of the former ones, so that no late write of theirs finds its condition. An entry with the sequence at which its server left is ignored only while rows may be written again.

--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -302,7 +302,7 @@
     if (resolving) {
         step_down(step, "another instance holds the lease");
     }
-    const bool is_left_to_former = lease_was_lost && step.now - step.state.store_restored_at < restored_lease_delay;
+    const bool is_left_to_former = lease_was_lost && step.now - step.state.era_seen_at < restored_lease_delay;
     const bool free = !event.lease || own || event.lease->until + clock_margin.count() < event.store_time;
     if (!free || is_left_to_former || step.state.shutting_down || !step.state.registry_known) {
         keeper.phase = keeper_phase::idle;
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -88,7 +88,7 @@
     if (entry.born != newest.born) {
         return entry.born < newest.born && is_being_rewritten(step.state, step.now);
     }
-    const bool has_left = !known.registered && entry.sequence > 0;
+    const bool has_left = !known.registered && entry.sequence > 0 && is_being_rewritten(step.state, step.now);
     return entry.sequence < newest.sequence || (has_left && entry.sequence == newest.sequence);
 }
 
@@ -148,11 +148,12 @@
 
 void note_store_era(step& step, std::uint64_t era) {
     auto& state = step.state;
-    if (!state.store_era) {
-        state.store_era = era;
+    if (state.store_era && era <= *state.store_era) {
         return;
     }
-    if (era <= *state.store_era) {
+    state.era_seen_at = step.now;
+    if (!state.store_era) {
+        state.store_era = era;
         return;
     }
     step.add(
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -427,7 +427,8 @@
     bool store_reachable = true;
     /// Nothing until an answer of the store has shown its era.
     std::optional<std::uint64_t> store_era;
-    /// When a new era was first seen.
+    /// When the era was first seen, and when one that is not the first that this instance has seen.
+    base::boot_time era_seen_at;
     base::boot_time store_restored_at;
     /// When the store was last lost, and since when it has been reachable.
     base::boot_time store_lost_at;
--- a/tests/operators_platform/store_test.cpp
+++ b/tests/operators_platform/store_test.cpp
@@ -179,9 +179,14 @@
 TEST_CASE("each era of the store has a lease of its own") {
     fixture test;
     QJsonArray written;
+    QStringList keys_written;
     test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
         if (request.path.contains("rows-tx")) {
-            written.append(QJsonDocument::fromJson(request.body).object().value("expect").toArray().at(0));
+            const auto body = QJsonDocument::fromJson(request.body).object();
+            written.append(body.value("expect").toArray().at(0));
+            for (const auto& put : body.value("puts").toArray()) {
+                keys_written.append(put.toObject().value("key").toString());
+            }
             return in_era(3, {200, R"({"ver": 13, "now_ms": 777})"});
         }
         return in_era(3, rows({row("lovagetack-lease", "keeper", R"({"holder":"two","until":900})", 4)}, 12));
@@ -199,6 +204,8 @@
     REQUIRE(test.all<routing::rows_written>().front().version == routing::store_version(3, 13).ordered());
     REQUIRE(written.at(0).toObject().value("key").toString() == "keeper/3");
     REQUIRE(written.at(0).toObject().value("ver").toInt() == 0);
+    // A late write of a former era expects the version, or the absence, that the copy has.
+    REQUIRE(keys_written == QStringList{"keeper/3", "keeper/2", "keeper"});
 }
 
 // Guards against a configuration that stays unknown for seconds after an outage: a call that waits long and was sent
--- a/tests/routing/deployment.cpp
+++ b/tests/routing/deployment.cpp
@@ -586,6 +586,9 @@
     store_.written_at = now_;
     version = store_version(era_, store_.version).ordered();
     store_.leases[expected.era()] = {store_.version, effect.lease};
+    for (auto era = expected.era(); expected.number() == 0 && era > 0; --era) {
+        store_.leases[era - 1] = {store_.version, effect.lease};
+    }
     for (const auto& [service, changed] : effect.assignments) {
         store_.assignment = changed;
         store_.assignment_version = store_version(changed.era, store_.version).ordered();
--- a/tests/routing/ownership_partition_test.cpp
+++ b/tests/routing/ownership_partition_test.cpp
@@ -290,6 +290,27 @@
     require_single_ownership(deployment);
 }
 
+TEST_CASE("an instance that starts after a restoration leaves the lease to the keeper before it") {
+    const auto seed = GENERATE(range(1, 20));
+    INFO("seed " << seed);
+    deployment deployment(9, 8, static_cast<std::uint64_t>(seed));
+    deployment.run_for(5s);
+    const int keeper = deployment.keeper();
+    const int started = keeper == 0 ? 1 : 0;
+    deployment.kill(started);
+    deployment.set_store_down(true);
+    deployment.run_for(1500ms);
+    deployment.set_store_down(false);
+    deployment.restore_store(3s);
+    deployment.restart(started);
+    for (int step = 0; step < 40; ++step) {
+        deployment.run_for(100ms);
+        REQUIRE(deployment.held_share() == 1.0);
+    }
+    REQUIRE(deployment.keeper() == keeper);
+    require_single_ownership(deployment);
+}
+
 TEST_CASE("keys are served again after the keeper is lost together with what the store had") {
     const auto seed = GENERATE(range(1, 12));
     INFO("seed " << seed);
