soak: the store is restored from a copy of some seconds ago

In a drill the store may be away for a moment and come back from a copy some seconds old: what the system wrote since is gone, versions are given out again, and the header Store-Era rises.

The stand-in states Store-Era in all answers, 503 too. A restoration closes waiting feeds, refuses calls for 0 to 3 s, and continues with rows and version of a copy 1 to 12 s old; feeds after a version that it does not have get 410. Copies are kept across restorations, so that a later one may go back to before an earlier one. Late writes of before are still done if their condition holds. Operators and backend servers repeat what the copy lacks within 0.3 s and 2 s.

Restorations are drawn from a generator of their own, with a mean pause of 5 s, so that the draws of the other faults stay.

Bounds for leaving servers, evacuations and configurations from before a restoration run again from 3 s after its end, so that a server or a configuration that is forgotten by it is found. No check is excused for longer than before: without a restoration the bounds are unchanged.

--- a/tests/soak/run_faults.cpp
+++ b/tests/soak/run_faults.cpp
@@ -121,6 +121,33 @@
     });
 }
 
+void run::schedule_restoration() {
+    const auto mean = static_cast<int>(options_.restoration_pause.count());
+    call_after(random_duration(restoration_random_, mean / 4, mean * 7 / 4), [this] {
+        if (injecting_) {
+            restore_store();
+            schedule_restoration();
+        }
+    });
+}
+
+void run::restore_store() {
+    if (store_restoring_) {
+        return;
+    }
+    const auto age = random_duration(restoration_random_, 1000, 12000);
+    note_fault("store away, loses " + std::to_string(age.count()) + " ms");
+    store_restoring_ = true;
+    witness_.note_store_restoring();
+    store_.go_away();
+    call_after(random_duration(restoration_random_, 0, 3000), [this, copied_at = clock::now() - age] {
+        note_fault("store restored");
+        store_.restore(copied_at);
+        store_restoring_ = false;
+        witness_.note_store_restoring();
+    });
+}
+
 void run::disturb_link() {
     static constexpr std::pair<link_mode, const char*> modes[] = {
         {link_mode::cut, "cut"},
--- a/tests/soak/store.hpp
+++ b/tests/soak/store.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -37,8 +39,13 @@
     void set_faults(const store_faults& faults) { faults_ = faults; }
     /// Discards all changes so far; feeds that continue from an earlier version get 410.
     void discard_history();
+    /// Refuses all calls with 503 until the store is restored; waiting feeds end without an answer.
+    void go_away();
+    /// Continues from a copy of the given time, or the oldest one, in a new era. Operators and backend servers then
+    /// repeat the direct writes that the copy lacks.
+    void restore(std::chrono::steady_clock::time_point copied_at);
 
-    // Direct writes of operators and backend servers; they fail only while the store is down.
+    // Direct writes of operators and backend servers; they fail only while the store is down or away.
     bool put(const std::string& table, const std::string& key, const QJsonObject& value);
     bool remove(const std::string& table, const std::string& key);
 
@@ -56,6 +63,12 @@
         bool deleted = false;
     };
 
+    struct copy {
+        std::chrono::steady_clock::time_point at;
+        std::map<row_id, row> rows;
+        std::uint64_t version = 0;
+    };
+
     struct waiting_feed {
         stand_ins::exchange_pointer exchange;
         std::string table;
@@ -63,6 +76,11 @@
         std::uint64_t number = 0;
     };
 
+    [[nodiscard]] bool is_down() const { return faults_.down || away_; }
+    bool write_directly(const row_id& id, const std::optional<std::string>& value);
+    void repeat_direct_write(const row_id& id);
+    void take_copy();
+
     void handle(const stand_ins::exchange_pointer& exchange);
     void answer_later(const stand_ins::exchange_pointer& exchange, int status, const QJsonObject& body);
     void read(const stand_ins::exchange_pointer& exchange);
@@ -83,10 +101,18 @@
     std::map<row_id, row> rows_;
     std::deque<change> history_;
     std::uint64_t version_ = 0;
+    /// Counts the restorations.
+    std::uint64_t era_ = 1;
+    bool away_ = false;
+    /// Ascending by time.
+    std::deque<copy> copies_;
+    /// Newest direct write of each row; nothing if it removed the row.
+    std::map<row_id, std::optional<std::string>> direct_writes_;
     /// Changes up to this version have been discarded.
     std::uint64_t discarded_version_ = 0;
     std::list<waiting_feed> feeds_;
     std::uint64_t last_feed_number_ = 0;
+    QTimer copy_timer_;
     QTimer context_;
 };
 
--- a/tests/soak/witness.hpp
+++ b/tests/soak/witness.hpp
@@ -46,6 +46,9 @@
     /// contact_time.
     void note_disturbed(int instance) { disturbed_[instance] = clock::now(); }
     void note_store_disturbed() { store_disturbed_ = clock::now(); }
+    /// The store is away and comes back from a copy. Promises with a time bound are checked again from contact_time
+    /// after the last of these calls, also for what was promised before.
+    void note_store_restoring() { restoring_ = clock::now(); }
     void note_resumed() { resumed_ = clock::now(); }
     void note_termination(int instance) { terminated_[instance] = clock::now(); }
     void note_configuration(int version) { configurations_[version] = clock::now(); }
@@ -103,6 +106,7 @@
     /// Newest configuration version whose effect was observed, and when, by instance and incarnation.
     std::map<std::pair<int, int>, std::pair<int, clock::time_point>> seen_configuration_;
     clock::time_point store_disturbed_;
+    clock::time_point restoring_;
     clock::time_point resumed_;
     clock::time_point lagged_;
     request_counts counts_;
