--- a/source/routing/duty.cpp
+++ b/source/routing/duty.cpp
@@ -66,9 +66,13 @@
 
 bool may_renew(const step& step) {
     const auto& keeper = step.state.keeper;
-    return step.now >= keeper.grants_from && keeper.assignments_current &&
-           keeper.lease.holder == step.state.self.instance && keeper.lease.incarnation == step.state.self.incarnation &&
-           renewal_time_left(step).count() > 0;
+    // A keeper that began without knowing all grants relies on the end of the former keeper's renewals, which a further
+    // restoration may extend: it grants nothing without a valid lease.
+    const bool began_without_knowledge =
+        keeper.grants_from != base::boot_time() && step.now < keeper.grants_from + lease_time + renewal_extension;
+    const bool may_grant = step.now >= keeper.grants_from && (!began_without_knowledge || is_lease_valid(step));
+    return may_grant && keeper.assignments_current && keeper.lease.holder == step.state.self.instance &&
+           keeper.lease.incarnation == step.state.self.incarnation && renewal_time_left(step).count() > 0;
 }
 
 std::chrono::milliseconds renewal_time_left(const step& step) {
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -119,7 +119,8 @@
 /// The store has come back from a copy: the lease that it shows is not the one that this instance holds.
 void check_restoration(step& step) {
     auto& keeper = step.state.keeper;
-    if (keeper.phase == keeper_phase::holding && step.state.store_era.value_or(0) > era_of(keeper.lease_version)) {
+    const bool acts = keeper.phase == keeper_phase::holding && !keeper.write_under_way;
+    if (acts && step.state.store_era.value_or(0) > era_of(keeper.lease_version)) {
         keeper.changed.clear();
         keeper.phase = keeper_phase::reading;
     }
@@ -325,7 +326,8 @@
         note_former_holder_ended(keeper, step.now);
     }
     keeper.token_floor = token_floor(event);
-    keeper.moves_from = local_time(former.unrecorded_grants_until);
+    const bool has_unrecorded = former.unrecorded_grants_until > event.store_time;
+    keeper.moves_from = has_unrecorded ? local_time(former.unrecorded_grants_until) : base::boot_time();
     if (lease_was_lost) {
         keeper.former_renewals_until = step.now + lease_time + renewal_extension + clock_margin;
         keeper.earlier_renewals_until = keeper.former_renewals_until;
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -105,6 +105,10 @@
 /// Time within which registrations that expired during an outage of the store return after it.
 inline constexpr std::chrono::microseconds registry_return = 2200ms;
 
+/// Time within which operators write evacuations again that a restored store has lost. Only capacity is lost while it
+/// lasts.
+inline constexpr std::chrono::microseconds evacuation_return = 5000ms;
+
 // Dispatchers of slots, in a large deployment.
 
 /// Servers of a data centre and service that one dispatcher gives out: enough that a free slot is likely while half of
@@ -169,7 +173,7 @@
 
 /// After a restoration of the store, its first lease is left for this long to the keeper before the restoration, which
 /// knows what the store has lost.
-inline constexpr std::chrono::microseconds restored_lease_delay = 1500ms;
+inline constexpr std::chrono::microseconds restored_lease_delay = 1800ms;
 /// How long after the end of its lease a keeper still knows all grants, as no other one can have moved keys by then.
 inline constexpr std::chrono::milliseconds complete_knowledge_time = renewal_extension - lease_time;
 
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -82,6 +82,11 @@
     return true;
 }
 
+bool may_lack_evacuations(const step& step) {
+    const auto restored_at = step.state.store_restored_at;
+    return restored_at != base::boot_time() && step.now - restored_at < evacuation_return;
+}
+
 /// Whether the server has replaced the entry or has left since. A restored store shows such entries.
 bool is_older(const step& step, const backend_server& entry, const server_record& known) {
     const auto& newest = known.registration;
@@ -219,7 +224,7 @@
 
 void update_evacuations(step& step, std::set<model::data_centre_id> data_centres) {
     step.state.shown_evacuations = data_centres;
-    if (is_being_rewritten(step.state, step.now)) {
+    if (may_lack_evacuations(step)) {
         data_centres.insert(step.state.evacuated.begin(), step.state.evacuated.end());
     }
     if (step.state.evacuated == data_centres) {
@@ -241,7 +246,7 @@
 }
 
 void end_missing_evacuations(step& step) {
-    if (step.state.evacuated != step.state.shown_evacuations && !is_being_rewritten(step.state, step.now)) {
+    if (step.state.evacuated != step.state.shown_evacuations && !may_lack_evacuations(step)) {
         update_evacuations(step, step.state.shown_evacuations);
     }
 }
--- a/source/routing/store_version.hpp
+++ b/source/routing/store_version.hpp
@@ -6,7 +6,7 @@
 namespace lovagetack::routing {
 
 /// A version of the store. The store gives out numbers in ascending order, but after it comes back from a copy it gives
-/// some of them out again, in a new era. Only era and number together are ordered.
+/// some of them out again, in a new era. Only era and number together are ordered. Eras count the restorations from 0.
 class store_version {
 public:
     constexpr store_version() = default;
--- a/source/routing/table_copy.cpp
+++ b/source/routing/table_copy.cpp
@@ -7,10 +7,6 @@
 
 namespace lovagetack::routing {
 
-bool table_copy::follows(const table_change& change, std::uint64_t version) {
-    return era_of(change.version) == era_of(version) ? change.base <= version : change.base == version;
-}
-
 bool table_copy::is_news(const table_row& row) const {
     const auto known = versions_.find(row.key);
     const auto removed = removed_versions_.find(row.key);
@@ -92,7 +88,7 @@
 table_change table_copy::apply_message(const table_change& change) {
     table_change news = change;
     news.rows.clear();
-    if (era_of(change.version) > era_of(version_) && !follows(change, version_)) {
+    if (era_of(change.version) != era_of(version_) || era_of(change.base) != era_of(version_)) {
         return news;
     }
     for (const auto& row : change.rows) {
@@ -101,7 +97,7 @@
             news.rows.push_back(row);
         }
     }
-    if (follows(change, version_) && change.version > version_) {
+    if (change.base <= version_ && change.version > version_) {
         version_ = change.version;
         remember(change);
     }
@@ -110,12 +106,15 @@
 
 std::optional<std::vector<table_change>> table_copy::changes_after(std::uint64_t version) const {
     std::vector<table_change> found;
+    if (era_of(version) != era_of(version_)) {
+        return std::nullopt;
+    }
     bool complete = version >= version_;
     for (const auto& change : changes_) {
         if (change.version <= version) {
             continue;
         }
-        complete = complete || follows(change, version);
+        complete = complete || change.base <= version;
         found.push_back(change);
     }
     if (!complete) {
--- a/source/routing/table_copy.hpp
+++ b/source/routing/table_copy.hpp
@@ -26,8 +26,8 @@
     table_change apply_whole(const std::vector<table_row>& rows, std::uint64_t version);
 
     /// Takes over a change that another instance has sent. Rows are taken over even if changes before them are missing,
-    /// but the version of the table grows only without a gap. A change to a new era of the store follows only the very
-    /// state that it starts from, as it removes just the rows of that state that are gone.
+    /// but the version of the table grows only without a gap. Changes of another era of the store are not taken over:
+    /// it is entered by a whole read, since a change tells only of rows that its sender knew.
     table_change apply_message(const table_change& change);
 
     [[nodiscard]] std::uint64_t version() const { return version_; }
@@ -40,7 +40,6 @@
     static constexpr std::size_t most_remembered_rows = 2048;
 
 private:
-    [[nodiscard]] static bool follows(const table_change& change, std::uint64_t version);
     [[nodiscard]] bool is_news(const table_row& row) const;
     void take_over(const table_row& row);
     void remember(const table_change& change);
