--- a/tests/operators_platform/store_test.cpp
+++ b/tests/operators_platform/store_test.cpp
@@ -151,6 +151,36 @@
     REQUIRE(eras.back().era == 1);
 }
 
+// Guards against a configuration that is read only when the call that waits for it ends, seconds after a restoration.
+TEST_CASE("all tables are read again as soon as one answer shows a new era") {
+    fixture test;
+    bool restored = false;
+    base::boot_time restored_at;
+    base::boot_time read_at;
+    test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
+        const int era = restored ? 2 : 1;
+        if (request.path.contains("rows-tx")) {
+            return in_era(era, {200, R"({"ver": 1, "now_ms": 1})"});
+        }
+        if (request.path.contains("rows-get")) {
+            if (restored && request.path.contains("table=op&")) {
+                read_at = base::boot_clock::now();
+            }
+            return in_era(era, rows({}, restored ? 50 : 100));
+        }
+        if (restored || !request.path.contains("table=servers")) {
+            return std::nullopt;
+        }
+        restored = true;
+        restored_at = base::boot_clock::now();
+        return in_era(2, {410, "{}"});
+    };
+    test.client->start({});
+    test.client->execute(routing::follow_store{true});
+    REQUIRE(platform::wait_until([&] { return read_at != base::boot_time(); }));
+    REQUIRE(read_at - restored_at < std::chrono::milliseconds(1000));
+}
+
 TEST_CASE("an instance writes its record again when a restored store has lost it") {
     fixture test;
     int writes = 0;
--- a/tests/routing/ownership_partition_test.cpp
+++ b/tests/routing/ownership_partition_test.cpp
@@ -325,4 +325,82 @@
     require_single_ownership(deployment);
 }
 
+TEST_CASE("a keeper that began without knowing all grants does not rely on another one after a second restoration") {
+    const auto seed = GENERATE(range(1, 9));
+    INFO("seed " << seed);
+    deployment deployment(3, 8, static_cast<std::uint64_t>(seed));
+    deployment.run_for(5s);
+    const int keeper = deployment.keeper();
+    const int successor = (keeper + 1) % 3;
+    deployment.kill(successor);
+    deployment.kill((keeper + 2) % 3);
+    deployment.run_for(200ms);
+    deployment.evacuate("north", true);
+    deployment.run_for(7s);
+    deployment.evacuate("north", false);
+    deployment.run_for(100ms);
+    // The successor knows only the copy, from before the evacuation moved keys.
+    deployment.set_isolated(keeper, true);
+    deployment.restore_store(8s);
+    deployment.restart(successor);
+    deployment.run_for(6s);
+    // From a copy without the successor's lease, so that the first keeper goes on.
+    deployment.restore_store(7s);
+    deployment.set_isolated(successor, true);
+    deployment.set_isolated(keeper, false);
+    deployment.run_for(20s);
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("a late write from before a restoration does not replace the assignment") {
+    const auto seed = GENERATE(range(1, 41));
+    INFO("seed " << seed);
+    deployment deployment(3, 8, static_cast<std::uint64_t>(seed));
+    deployment.run_for(5s);
+    const int keeper = deployment.keeper();
+    deployment.kill((keeper + 1) % 3);
+    deployment.kill((keeper + 2) % 3);
+    deployment.run_for(200ms);
+    deployment.lose_answers(1.0, true);
+    deployment.evacuate("west", true);
+    deployment.run_for(300ms);
+    deployment.lose_answers(0, false);
+    deployment.evacuate("west", false);
+    deployment.run_for(1300ms);
+    deployment.restore_store(1500ms);
+    deployment.run_for(200ms);
+    deployment.evacuate("north", true);
+    deployment.run_for(5s);
+    deployment.evacuate("north", false);
+    deployment.run_for(300ms);
+    const auto known = deployment.state_of(keeper).services.at(keyed_service).assignment;
+    REQUIRE(deployment.assignment().ranges == known.ranges);
+    deployment.restart((keeper + 1) % 3);
+    deployment.restart((keeper + 2) % 3);
+    deployment.run_for(1s);
+    deployment.set_isolated(keeper, true);
+    deployment.run_for(12s);
+    require_single_ownership(deployment);
+}
+
+TEST_CASE("keys stay served when an instance starts while the store is away") {
+    const auto seed = GENERATE(range(1, 21));
+    INFO("seed " << seed);
+    deployment deployment(9, 8, static_cast<std::uint64_t>(seed));
+    deployment.run_for(5s);
+    const int started = (deployment.keeper() + 1) % 9;
+    deployment.kill(started);
+    deployment.run_for(1s);
+    deployment.set_store_down(true);
+    deployment.restart(started);
+    deployment.run_for(std::chrono::milliseconds(500 + 137 * seed));
+    deployment.set_store_down(false);
+    deployment.restore_store(4s);
+    for (int step = 0; step < 250; ++step) {
+        deployment.run_for(100ms);
+        REQUIRE(deployment.held_share() == 1.0);
+    }
+    require_single_ownership(deployment);
+}
+
 } // namespace lovagetack::routing::testing
