--- a/tests/operators_platform/store_test.cpp
+++ b/tests/operators_platform/store_test.cpp
@@ -181,6 +181,21 @@
     REQUIRE(read_at - restored_at < std::chrono::milliseconds(1000));
 }
 
+// Guards against a large table that a busy instance never receives, since each read ends after the same short time.
+TEST_CASE("a read that was not answered in time gets more time") {
+    fixture test;
+    std::vector<base::boot_time> reads;
+    test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
+        if (request.path.contains("rows-get") && request.path.contains("table=servers")) {
+            reads.push_back(base::boot_clock::now());
+        }
+        return std::nullopt;
+    };
+    test.client->start({});
+    REQUIRE(platform::wait_until([&] { return reads.size() >= 3; }));
+    REQUIRE(reads[2] - reads[1] >= std::chrono::milliseconds(2000));
+}
+
 TEST_CASE("an instance writes its record again when a restored store has lost it") {
     fixture test;
     int writes = 0;
