routing: an instance that learns of a new era of the store reads it itself

Cause: an instance that does not follow the store asked its reader for the changes. The restored store had lost the instance's row, so that the reader had no address to answer to; and the instance, which made no call to the store (store_calls=9 from the start to second 20), did not learn from an answer that it had to write its row again.

Change: an instance that learns of a new era from a change or a heartbeat reads all tables from the store at once, and by that writes its row again.

Evidence: 'an instance that learns of a restoration from another one reads the store itself'.

--- a/source/routing/readers.cpp
+++ b/source/routing/readers.cpp
@@ -242,7 +242,9 @@
         return;
     }
     for (const auto table : followed_tables) {
-        close_gap(step, table, event.tables.at(index_of(table)), event.instance);
+        const auto version = event.tables.at(index_of(table));
+        note_store_era(step, era_of(version));
+        close_gap(step, table, version, event.instance);
     }
     for (const auto& [service, version] : event.assignments) {
         note_assignment_version(step, service, version);
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -166,6 +166,10 @@
     state.store_era = era;
     state.store_restored_at = step.now;
     state.registry_incomplete_until = step.now + registry_return;
+    // Other instances may not be able to answer this one, whose row the store may have lost.
+    for (const auto table : followed_tables) {
+        step.add(catch_up{table});
+    }
 }
 
 bool is_being_rewritten(const state& state, base::boot_time now) {
--- a/tests/routing/knowledge_test.cpp
+++ b/tests/routing/knowledge_test.cpp
@@ -4,6 +4,7 @@
 
 #include "routing/reduce.hpp"
 #include "routing/samples.hpp"
+#include "routing/store_version.hpp"
 
 namespace lovagetack::routing::testing {
 namespace {
@@ -253,6 +254,20 @@
     REQUIRE(state.evacuated.empty());
 }
 
+// Guards against waiting for others, which cannot answer an instance whose row the store has lost.
+TEST_CASE("an instance that learns of a restoration from another one reads the store itself") {
+    auto state = instance_of("south", 0);
+    const auto now = base::boot_time(2s);
+    process_event(state, now, store_era_seen{0});
+    const auto in_new_era = store_version(1, 5).ordered();
+    const auto effects =
+        reduce(state, now,
+               table_change_received{model::instance_id("south-1"), {followed_table::operators, 4, in_new_era, {}}});
+    const auto reads = std::count_if(effects.begin(), effects.end(),
+                                     [](const effect& item) { return std::holds_alternative<catch_up>(item); });
+    REQUIRE(reads == static_cast<std::ptrdiff_t>(followed_table_count));
+}
+
 TEST_CASE("entries of a restored store do not bring back a server that is leaving or has left") {
     auto state = instance_of("south", 0);
     const auto now = base::boot_time(2s);
