http, routing, gateway: log why a caller's connection ended without an answer

- caller_left: request, cause (closed_by_caller or Qt's name of the socket error), phase, server, time waited.
- connection_dropped: this instance reset a connection because an answer was begun, or discarded bytes that came after it had begun to close the connection.

--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -105,10 +105,14 @@
     if (find(id) == nullptr) {
         return;
     }
-    on_event_(routing::caller_left{id});
+    on_event_(routing::caller_left{id, connection.end_cause()});
     erase(id);
 }
 
+void relay::bytes_discarded(http::server_connection& /*connection*/, std::size_t bytes) {
+    on_event_(routing::connection_dropped{"", std::to_string(bytes) + " bytes came after the close"});
+}
+
 void relay::attempt_sent(const routing::attempt_sent& event) {
     on_event_(event);
 }
@@ -174,6 +178,7 @@
     caller->set_tag(0);
     if (caller->answer_started()) {
         // Part of an answer has been sent already. A reset tells the caller that it is incomplete.
+        on_event_(routing::connection_dropped{item->header.request, "answer was begun"});
         caller->abort();
         erase(effect.exchange);
         return;
--- a/source/gateway/relay.hpp
+++ b/source/gateway/relay.hpp
@@ -55,6 +55,7 @@
     void request_body_ended(http::server_connection& connection) override;
     void answer_writable(http::server_connection& connection) override;
     void caller_left(http::server_connection& connection) override;
+    void bytes_discarded(http::server_connection& connection, std::size_t bytes) override;
 
     void attempt_sent(const routing::attempt_sent& event) override;
     void answer_forwarding_started(const routing::answer_forwarding_started& event) override;
--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -40,19 +40,23 @@
 
 void server_connection::stream_closed() {
     const auto self = shared_from_this();
-    end_connection();
+    end_connection(stream_.error().empty() ? "closed_by_caller" : stream_.error());
 }
 
-void server_connection::end_connection() {
+void server_connection::end_connection(std::string cause) {
     if (phase_ == phase::closed) {
         return;
     }
     const bool was_open = request_open();
+    end_cause_ = std::move(cause);
     phase_ = phase::closed;
     stream_.abort();
     if (was_open) {
         handler_.caller_left(*this);
     }
+    if (discarded_ > 0) {
+        handler_.bytes_discarded(*this, discarded_);
+    }
     on_closed_(*this);
 }
 
@@ -79,7 +83,7 @@
         discarded_ += stream_.input().size();
         stream_.input().consume(stream_.input().size());
         if (discarded_ > linger_bytes) {
-            end_connection();
+            end_connection("too_many_bytes_after_answer");
             return false;
         }
         return stream_.fetch();
@@ -210,9 +214,10 @@
 
 void server_connection::fail_body(int status, base::result_code code, std::string_view message) {
     if (answer_started_) {
-        end_connection();
+        end_connection("body_rejected_after_answer");
         return;
     }
+    end_cause_ = base::name_of(code);
     // Part of the body may have reached a backend server.
     answer_error(status, code, message, outcome_unknown_line);
     flush();
@@ -388,12 +393,12 @@
     case phase::answering:
         // Without unsent bytes the connection waits for the handler's answer, which the deadline of the request bounds.
         if (stream_.unsent() > 0 && waited > limits_.idle_time) {
-            end_connection();
+            end_connection("answer_not_read");
         }
         return;
     case phase::lingering:
         if (waited > limits_.linger_time) {
-            end_connection();
+            end_connection("linger_time_over");
         }
         return;
     case phase::closed:
--- a/source/http/server_connection.hpp
+++ b/source/http/server_connection.hpp
@@ -44,6 +44,9 @@
         /// The connection ended, or the request body was rejected, while a request was open; it can no longer be
         /// answered.
         virtual void caller_left(server_connection& connection) = 0;
+        /// The connection ended and bytes that came while it was closing were discarded. A request among them has got
+        /// no answer.
+        virtual void bytes_discarded(server_connection& /*connection*/, std::size_t /*bytes*/) {}
     };
 
     server_connection(QTcpSocket* socket, handler& requests, const server_limits& limits,
@@ -79,6 +82,8 @@
     void flush();
 
     [[nodiscard]] bool answer_started() const { return answer_started_; }
+    /// Why the connection ended, or its request was rejected, before the answer; for the log. Set before caller_left.
+    [[nodiscard]] const std::string& end_cause() const { return end_cause_; }
     /// Bytes of the answer that have not been passed to the kernel yet.
     [[nodiscard]] std::size_t unsent() const { return output_.size() + stream_.unsent(); }
 
@@ -113,7 +118,7 @@
     void end_request_body();
     void next_request();
     void linger();
-    void end_connection();
+    void end_connection(std::string cause);
     [[nodiscard]] bool request_open() const;
 
     handler& handler_;
@@ -121,6 +126,7 @@
     std::function<void(server_connection&)> on_closed_;
     message_reader<true> reader_;
     std::string output_;
+    std::string end_cause_;
     std::uint64_t tag_ = 0;
     std::uint64_t declared_length_ = 0;
     std::uint64_t body_received_ = 0;
--- a/source/http/socket_stream.cpp
+++ b/source/http/socket_stream.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <QHostAddress>
+#include <QMetaEnum>
 #include <QNetworkProxy>
 
 namespace lovagetack::http {
@@ -86,6 +87,8 @@
     QObject::connect(socket_.get(), &QTcpSocket::disconnected, &context_, [this] { handle_end(true); });
     QObject::connect(socket_.get(), &QTcpSocket::errorOccurred, &context_, [this](QAbstractSocket::SocketError error) {
         if (error != QAbstractSocket::RemoteHostClosedError) {
+            const char* const name = QMetaEnum::fromType<QAbstractSocket::SocketError>().valueToKey(error);
+            error_ = name != nullptr ? name : "unknown_error";
             handle_end(false);
         }
     });
--- a/source/http/socket_stream.hpp
+++ b/source/http/socket_stream.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include <QObject>
@@ -58,6 +59,8 @@
     /// The peer closed the connection regularly. A reset counts as a regular close unless enable_reset_detection was
     /// called.
     [[nodiscard]] bool closed_by_peer() const { return closed_by_peer_; }
+    /// Qt's name of the error that ended the connection; empty if the peer closed or reset it.
+    [[nodiscard]] const std::string& error() const { return error_; }
     /// Distinguishes a reset from a regular close from now on; Qt reports both in the same way.
     void enable_reset_detection();
 
@@ -93,6 +96,7 @@
     std::uint64_t written_ = 0;
     bool closed_ = false;
     bool closed_by_peer_ = false;
+    std::string error_;
     bool in_call_ = false;
     /// Duplicate descriptor of the connection, which stays open after Qt closes its own; -1 if there is none.
     int reset_detection_descriptor_ = -1;
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -233,6 +233,16 @@
 
 struct caller_left {
     exchange_id exchange = 0;
+    /// Why the connection ended; for the log.
+    std::string cause;
+};
+
+/// This instance closed a caller's connection without an answer to what was received on it.
+struct connection_dropped {
+    /// Empty if no request was read.
+    std::string request;
+    /// For the log.
+    std::string cause;
 };
 
 // Load reports of other instances and of backend servers.
@@ -441,13 +451,13 @@
 /// Shutdown of the instance begins: it is no longer ready, and gives up the keeper's lease.
 struct shutdown_begun {};
 
-using event =
-    std::variant<store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected,
-                 evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
-                 assignment_learned, assignment_changed, assignments_complete, instance_updated, instance_removed,
-                 lease_read, rows_written, assignments_read, grant_ended, release_ended, renewal_orders, renewal_report,
-                 table_updated, slot_request, slot_answer, slot_release, slot_report, reader_heartbeat,
-                 table_change_received, table_changes_wanted, table_changes_unknown, instance_load, request_arrived,
-                 caller_left, attempt_sent, answer_forwarding_started, attempt_ended, ticked, shutdown_begun>;
+using event = std::variant<store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected,
+                           evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
+                           assignment_learned, assignment_changed, assignments_complete, instance_updated,
+                           instance_removed, lease_read, rows_written, assignments_read, grant_ended, release_ended,
+                           renewal_orders, renewal_report, table_updated, slot_request, slot_answer, slot_release,
+                           slot_report, reader_heartbeat, table_change_received, table_changes_wanted,
+                           table_changes_unknown, instance_load, request_arrived, caller_left, connection_dropped,
+                           attempt_sent, answer_forwarding_started, attempt_ended, ticked, shutdown_begun>;
 
 } // namespace lovagetack::routing
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -162,7 +162,12 @@
 }
 
 void on(step& step, const caller_left& event) {
-    cancel_exchange(step, event.exchange);
+    end_left_exchange(step, event);
+}
+
+void on(step& step, const connection_dropped& event) {
+    step.add(
+        log_line{true, "connection_dropped", {text_field("request", event.request), text_field("cause", event.cause)}});
 }
 
 void on(step& step, const attempt_sent& event) {
@@ -198,9 +203,10 @@
         return (std::holds_alternative<Events>(event) || ...);
     };
     return !is_any_of(
-        std::type_identity<std::variant<request_arrived, caller_left, attempt_sent, answer_forwarding_started,
-                                        attempt_ended, instance_load, renewal_orders, renewal_report, reader_heartbeat,
-                                        slot_request, slot_answer, slot_release, slot_report>>());
+        std::type_identity<
+            std::variant<request_arrived, caller_left, connection_dropped, attempt_sent, answer_forwarding_started,
+                         attempt_ended, instance_load, renewal_orders, renewal_report, reader_heartbeat, slot_request,
+                         slot_answer, slot_release, slot_report>>());
 }
 
 } // namespace
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -41,6 +41,20 @@
     return "";
 }
 
+std::string_view name_of(exchange_phase phase) {
+    switch (phase) {
+    case exchange_phase::queued:
+        return "queued";
+    case exchange_phase::asking:
+        return "asking";
+    case exchange_phase::waiting:
+        return "waiting";
+    case exchange_phase::sent:
+        return "sent";
+    }
+    return "";
+}
+
 bool take_retry_token(service_record& service) {
     if (service.retry_tokens < 1.0) {
         return false;
@@ -341,12 +355,23 @@
            range->owner_born == server.registration.born && serves_own_keys(step.state, server, step.now);
 }
 
-void cancel_exchange(step& step, exchange_id id) {
+void end_left_exchange(step& step, const caller_left& event) {
+    const auto id = event.exchange;
     const auto found = step.state.exchanges.find(id);
     if (found == step.state.exchanges.end()) {
         return;
     }
     const auto& exchange = found->second;
+    const auto waited =
+        std::chrono::duration_cast<std::chrono::milliseconds>(step.now - exchange.request.arrived).count();
+    step.add(
+        log_line{false,
+                 "caller_left",
+                 {text_field("request", exchange.request.request), text_field("cause", event.cause),
+                  text_field("phase", std::string(name_of(exchange.phase))),
+                  text_field("server", exchange.server.value()), number_field("attempts", exchange.attempts),
+                  number_field("waited_ms", waited), number_field("deadline_ms", exchange.request.deadline.count()),
+                  number_field("configuration", step.state.configuration.version)}});
     if (exchange.phase == exchange_phase::sent) {
         const auto server = step.state.servers.find(exchange.server);
         if (server != step.state.servers.end()) {
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -209,6 +209,7 @@
     test.caller->reset();
     test.server->connection(0).wait_for_close();
     REQUIRE(std::holds_alternative<routing::caller_left>(test.events.back()));
+    REQUIRE(std::get<routing::caller_left>(test.events.back()).cause == "closed_by_caller");
 }
 
 TEST_CASE("a grant names the expected server, and status 421 of another server at its address counts as refused") {
--- a/tests/routing/requests_test.cpp
+++ b/tests/routing/requests_test.cpp
@@ -200,7 +200,7 @@
 TEST_CASE("the attempt of a caller that has disconnected is cancelled") {
     instance instance;
     const auto id = instance.request("/get/1");
-    instance.process_event(caller_left{id});
+    instance.process_event(caller_left{id, "closed_by_caller"});
     REQUIRE(instance.count<cancel_attempt>() == 1);
     REQUIRE(instance.state().exchanges.empty());
     for (const auto& [name, server] : instance.state().servers) {
