--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -109,8 +109,9 @@
     erase(id);
 }
 
-void relay::bytes_discarded(http::server_connection& /*connection*/, std::size_t bytes) {
-    on_event_(routing::connection_dropped{"", std::to_string(bytes) + " bytes came after the close"});
+void relay::bytes_discarded(http::server_connection& connection, std::size_t bytes) {
+    on_event_(routing::connection_dropped{"", std::to_string(bytes) + " bytes came after the close, " +
+                                                  connection.end_cause()});
 }
 
 void relay::attempt_sent(const routing::attempt_sent& event) {
--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -48,7 +48,9 @@
         return;
     }
     const bool was_open = request_open();
-    end_cause_ = std::move(cause);
+    if (phase_ != phase::lingering) {
+        end_cause_ = std::move(cause);
+    }
     phase_ = phase::closed;
     stream_.abort();
     if (was_open) {
@@ -299,7 +301,7 @@
         return;
     }
     if (!keep_alive_ || !request_complete_ || finishing_) {
-        linger();
+        linger(keep_alive_ ? "after an answer that did not announce it" : "after an answer that announced it");
         return;
     }
     next_request();
@@ -334,7 +336,8 @@
     output_.clear();
 }
 
-void server_connection::linger() {
+void server_connection::linger(std::string reason) {
+    end_cause_ = std::move(reason);
     last_progress_ = clock::now();
     // Closing a socket with unread input resets the connection, and the caller could lose the answer.
     phase_ = phase::lingering;
@@ -377,7 +380,8 @@
     case phase::waiting:
         // A request that has already arrived is read first.
         if (waited > (finishing_ ? limits_.stop_grace : limits_.idle_time) && !stream_.has_unread()) {
-            linger();
+            const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(waited);
+            linger("after " + std::to_string(idle.count()) + " ms without a request");
         }
         return;
     case phase::header:
--- a/source/http/server_connection.hpp
+++ b/source/http/server_connection.hpp
@@ -82,7 +82,8 @@
     void flush();
 
     [[nodiscard]] bool answer_started() const { return answer_started_; }
-    /// Why the connection ended, or its request was rejected, before the answer; for the log. Set before caller_left.
+    /// For the log: why the connection began to close or, if it did not, why it ended or its request was rejected. Set
+    /// before caller_left and bytes_discarded.
     [[nodiscard]] const std::string& end_cause() const { return end_cause_; }
     /// Bytes of the answer that have not been passed to the kernel yet.
     [[nodiscard]] std::size_t unsent() const { return output_.size() + stream_.unsent(); }
@@ -117,7 +118,8 @@
     void fail_body(int status, base::result_code code, std::string_view message);
     void end_request_body();
     void next_request();
-    void linger();
+    /// `reason` is for the log.
+    void linger(std::string reason);
     void end_connection(std::string cause);
     [[nodiscard]] bool request_open() const;
 
