http: an idle connection is closed without reading what arrives afterwards

Cause: a connection that was idle for idle_timeout_ms, or for 500 ms after the process was told to stop, was closed for sending and then read to its end for 2 s. A request that crossed the close was read and thrown away. On an instance with a tenth of a core an iteration of the event loop takes some 100 ms, and so does the time in which the two can cross.

The test fails without the change: 31 bytes of the request are discarded.

The connection is now closed in both directions. A request that is on its way stays unread and is answered with a reset by the kernel, so that its caller knows that it has not run and may send it again.

--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -347,6 +347,12 @@
     stream_.post([this] { process(); });
 }
 
+void server_connection::close_unread() {
+    phase_ = phase::closed;
+    stream_.close_at_once();
+    on_closed_(*this);
+}
+
 void server_connection::abort() {
     const auto self = shared_from_this();
     if (phase_ == phase::closed) {
@@ -380,8 +386,7 @@
     case phase::waiting:
         // A request that has already arrived is read first.
         if (waited > (finishing_ ? limits_.stop_grace : limits_.idle_time) && !stream_.has_unread()) {
-            const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(waited);
-            linger("after " + std::to_string(idle.count()) + " ms without a request");
+            close_unread();
         }
         return;
     case phase::header:
--- a/source/http/server_connection.hpp
+++ b/source/http/server_connection.hpp
@@ -120,6 +120,9 @@
     void next_request();
     /// `reason` is for the log.
     void linger(std::string reason);
+    /// Closes an idle connection. A request that is on its way stays unread, and the kernel answers it with a reset, so
+    /// that the caller knows that it has not run.
+    void close_unread();
     void end_connection(std::string cause);
     [[nodiscard]] bool request_open() const;
 
--- a/source/http/socket_stream.cpp
+++ b/source/http/socket_stream.cpp
@@ -178,17 +178,21 @@
     socket_->disconnectFromHost();
 }
 
-void socket_stream::abort() {
+void socket_stream::close_at_once() {
     const call_guard guard(in_call_);
+    closed_ = true;
+    QObject::disconnect(socket_.get(), nullptr, &context_, nullptr);
+    socket_->abort();
+    disable_reset_detection();
+}
+
+void socket_stream::abort() {
     const auto descriptor = static_cast<int>(socket_->socketDescriptor());
     if (descriptor >= 0) {
         const linger reset{1, 0};
         ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
     }
-    closed_ = true;
-    QObject::disconnect(socket_.get(), nullptr, &context_, nullptr);
-    socket_->abort();
-    disable_reset_detection();
+    close_at_once();
 }
 
 } // namespace lovagetack::http
--- a/source/http/socket_stream.hpp
+++ b/source/http/socket_stream.hpp
@@ -77,6 +77,8 @@
     void shut_down_sending();
     /// Closes the connection after all written bytes have been sent.
     void close();
+    /// Closes the connection in both directions; bytes that were passed to the kernel are still sent.
+    void close_at_once();
     /// Resets the connection, so that the peer cannot mistake the bytes it received for a complete message.
     void abort();
 
--- a/tests/http/echo_handler.hpp
+++ b/tests/http/echo_handler.hpp
@@ -40,6 +40,9 @@
         bodies_.erase(&connection);
     }
 
+    void bytes_discarded(http::server_connection& /*connection*/, std::size_t bytes) override { discarded += bytes; }
+
+    std::size_t discarded = 0;
     int started = 0;
     int callers_left = 0;
     /// Requests are left without an answer.
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -169,6 +169,36 @@
     connection->abort();
 }
 
+// Guards against a request that is read and thrown away: its caller gets no answer and cannot know that it has not run.
+TEST_CASE("a request that crosses the close of an idle connection is not read") {
+    test::ensure_application();
+    QTcpServer listener;
+    REQUIRE(listener.listen(QHostAddress::LocalHost));
+    raw_socket caller(listener.serverPort());
+    test::run_until([&listener] { return listener.hasPendingConnections(); });
+    test::echo_handler handler;
+    const http::server_limits limits;
+    const auto connection = std::make_shared<http::server_connection>(listener.nextPendingConnection(), handler, limits,
+                                                                      [](http::server_connection&) {});
+    test::settle();
+    const auto idle_until = http::server_connection::clock::now() + limits.idle_time;
+    SECTION("because of the idle time") {
+        connection->check_time(idle_until + limits.idle_time);
+    }
+    SECTION("because the server stops") {
+        connection->finish();
+        connection->check_time(idle_until);
+    }
+    // The caller has not seen the close yet: the event loop has not run.
+    caller.send("GET /late HTTP/1.1\r\nHost: x\r\n\r\n");
+    caller.wait_for_close();
+    test::settle();
+    CHECK(handler.started == 0);
+    CHECK(handler.discarded == 0);
+    CHECK(caller.received().empty());
+    connection->abort();
+}
+
 // Guards against more connections than the instance has memory for, and against closed connections that still count
 // towards the limit.
 TEST_CASE("a connection above the limit is refused until another one closes") {
