http: an answer that did not announce the close of its connection does not close it

Callers could see a connection end without an answer to the request that they sent on it after an answer that had kept it open.

Cause: an answer that is under way when the process stops accepting was begun without `connection: close`, but the connection was closed after it and a request that followed was read and thrown away. The test fails without the change: the second request gets no answer.

The connection stays open for the time that idle connections have after a stop, and the next answer announces its close.

--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -300,8 +300,9 @@
     if (phase_ == phase::closed) {
         return;
     }
-    if (!keep_alive_ || !request_complete_ || finishing_) {
-        linger(keep_alive_ ? "after an answer that did not announce it" : "after an answer that announced it");
+    // An answer that was begun before finish() has not announced a close, so the caller may send its next request.
+    if (!keep_alive_ || !request_complete_) {
+        linger();
         return;
     }
     next_request();
@@ -336,8 +337,8 @@
     output_.clear();
 }
 
-void server_connection::linger(std::string reason) {
-    end_cause_ = std::move(reason);
+void server_connection::linger() {
+    end_cause_ = "after an answer that announced it";
     last_progress_ = clock::now();
     // Closing a socket with unread input resets the connection, and the caller could lose the answer.
     phase_ = phase::lingering;
--- a/source/http/server_connection.hpp
+++ b/source/http/server_connection.hpp
@@ -118,8 +118,7 @@
     void fail_body(int status, base::result_code code, std::string_view message);
     void end_request_body();
     void next_request();
-    /// `reason` is for the log.
-    void linger(std::string reason);
+    void linger();
     /// Closes an idle connection. A request that is on its way stays unread, and the kernel answers it with a reset, so
     /// that the caller knows that it has not run.
     void close_unread();
--- a/tests/http/echo_handler.hpp
+++ b/tests/http/echo_handler.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,7 @@
     void request_body_ended(http::server_connection& connection) override {
         const auto body = bodies_[&connection];
         bodies_.erase(&connection);
+        last = connection.shared_from_this();
         if (withhold_answers) {
             return;
         }
@@ -45,6 +47,8 @@
     std::size_t discarded = 0;
     int started = 0;
     int callers_left = 0;
+    /// The connection of the last complete request.
+    std::shared_ptr<http::server_connection> last;
     /// Requests are left without an answer.
     bool withhold_answers = false;
 
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -199,6 +199,26 @@
     connection->abort();
 }
 
+// Guards against a close that the caller cannot know of: the answer said that the connection stays open.
+TEST_CASE("a request after an answer that was begun before the server stopped is answered") {
+    echo_server echo;
+    echo.handler.withhold_answers = true;
+    raw_socket caller(echo.server->port());
+    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    test::run_until([&echo] { return echo.handler.last != nullptr; });
+    echo.handler.last->start_answer(200, "OK", "", http::body_framing::length, 2);
+    echo.server->stop([] {});
+    echo.handler.withhold_answers = false;
+    echo.handler.last->answer_body("ok");
+    echo.handler.last->end_answer();
+    caller.wait_for("ok");
+    REQUIRE(caller.received().find("connection: close\r\n") == std::string::npos);
+    caller.send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    caller.wait_for("GET /b ");
+    CHECK(caller.received().find("connection: close\r\n") != std::string::npos);
+    caller.wait_for_close();
+}
+
 // Guards against more connections than the instance has memory for, and against closed connections that still count
 // towards the limit.
 TEST_CASE("a connection above the limit is refused until another one closes") {
