http: an idle connection is closed only once its last answer has been passed on

A caller that did not read for 1 s got 3,919,872 of 8,388,608 bytes (measured by the reviewer; the first of the two tests is this case).

The idle time now begins to count once nothing is unsent; until then the limit of a caller that does not read its answer holds. The second test keeps the close from becoming a reset, which would discard what is in the kernel's buffer.

--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -385,6 +385,13 @@
     const auto waited = now - last_progress_;
     switch (phase_) {
     case phase::waiting:
+        if (stream_.unsent() > 0) {
+            // The caller has not received the whole last answer yet.
+            if (waited > limits_.idle_time) {
+                end_connection("answer_not_read");
+            }
+            return;
+        }
         // A request that has already arrived is read first.
         if (waited > (finishing_ ? limits_.stop_grace : limits_.idle_time) && !stream_.has_unread()) {
             close_unread();
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -219,6 +219,55 @@
     caller.wait_for_close();
 }
 
+/// An answer to a caller that does not read it for a while.
+struct slow_answer {
+    explicit slow_answer(std::string_view request, std::size_t answer_size, const http::server_limits& limits = {})
+        : echo(limits), size(answer_size) {
+        echo.handler.withhold_answers = true;
+        caller = std::make_unique<raw_socket>(echo.server->port());
+        caller->send(request);
+        test::run_until([this] { return echo.handler.last != nullptr; });
+        caller->stop_reading();
+        echo.handler.last->start_answer(200, "OK", "", http::body_framing::length, size);
+    }
+
+    void end() {
+        echo.handler.last->answer_body(std::string(size, 'x'));
+        echo.handler.last->end_answer();
+    }
+
+    /// Bytes that the caller receives if it begins to read after `time`.
+    std::size_t received_after(std::chrono::milliseconds time) {
+        const auto until = std::chrono::steady_clock::now() + time;
+        test::run_until([until] { return std::chrono::steady_clock::now() > until; });
+        caller->resume_reading();
+        caller->wait_for_close();
+        return caller->received().size();
+    }
+
+    echo_server echo;
+    std::unique_ptr<raw_socket> caller;
+    std::size_t size;
+};
+
+// Guards against an answer that is cut off because its caller is slow when the process stops.
+TEST_CASE("an answer that was begun before a stop is sent whole to a caller that reads it later") {
+    slow_answer answer("GET /a HTTP/1.1\r\nHost: x\r\n\r\n", std::size_t(8) * 1024 * 1024);
+    answer.echo.server->stop([] {});
+    answer.end();
+    CHECK(answer.received_after(std::chrono::milliseconds(1000)) > answer.size);
+}
+
+// Guards against a reset at the close of an idle connection: it discards what the kernel has not sent yet.
+TEST_CASE("the close of an idle connection does not discard an answer in the kernel's buffer") {
+    http::server_limits limits;
+    limits.idle_time = std::chrono::milliseconds(300);
+    slow_answer answer("GET /a HTTP/1.1\r\nHost: x\r\n\r\n", std::size_t(3) * 1024 * 1024, limits);
+    answer.end();
+    REQUIRE(answer.echo.handler.last->unsent() == 0);
+    CHECK(answer.received_after(std::chrono::milliseconds(1000)) > answer.size);
+}
+
 // Guards against more connections than the instance has memory for, and against closed connections that still count
 // towards the limit.
 TEST_CASE("a connection above the limit is refused until another one closes") {
