sequences: draw the time of a pause in a statement of its own

Cause: disturber::inject() drew the time of a pause and the instance to pause in the arguments of one call. Their order is unspecified: GCC takes the first argument first on arm64, and the other order is the one that reproduces the outcome of x86-64 (no x86-64 machine was at hand). A seed with pauses had another course on each kind of machine. The time is now drawn first, in a statement of its own, and a test checks the order. The self-check and its seeds stay as they were.

No product source is involved.

--- a/tests/sequences/disturbance.hpp
+++ b/tests/sequences/disturbance.hpp
@@ -52,9 +52,13 @@
     /// Injects the disturbance once; called about once a second.
     void inject() {
         switch (kind_) {
-        case disturbance::paused_instance:
-            cluster_.pause(random_node(), std::chrono::milliseconds(100 + cluster_.draw(2500)));
+        case disturbance::paused_instance: {
+            // Drawn in a statement of its own: the order in which arguments are evaluated differs between kinds of
+            // machine.
+            const auto time = std::chrono::milliseconds(100 + cluster_.draw(2500));
+            cluster_.pause(random_node(), time);
             return;
+        }
         case disturbance::killed_instance:
             if (!killed_) {
                 killed_ = true;
--- a/tests/sequences/ownership_test.cpp
+++ b/tests/sequences/ownership_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 #include "sequences/checker.hpp"
 #include "sequences/disturbance.hpp"
 
@@ -75,6 +77,17 @@
     }
 }
 
+// Guards against random numbers that are drawn in an order that the compiler chooses, as it does for the arguments of a
+// call: a seed then has another course on another kind of machine.
+TEST_CASE("a paused instance gets its time before the instance is drawn") {
+    testing::cluster cluster({.seed = 8});
+    testing::cluster same({.seed = 8});
+    testing::disturber(cluster, disturbance::paused_instance).inject();
+    const auto end = same.now + std::chrono::milliseconds(100 + same.draw(2500));
+    CHECK(std::count_if(cluster.nodes.begin(), cluster.nodes.end(),
+                        [&](const auto& entry) { return entry.second.paused_until == end; }) == 1);
+}
+
 // Guards against a checker that detects nothing: without the waiting time after a controller failover, a server that
 // only the old controller reached still holds its lease when the successor is activated.
 TEST_CASE("the check finds a controller that activates successors without waiting") {
