--- a/source/base/key_hash.cpp
+++ b/source/base/key_hash.cpp
@@ -12,4 +12,8 @@
     return XXH64(candidate.data(), candidate.size(), key_hash(item));
 }
 
+std::uint64_t chained_hash(std::uint64_t hash, std::string_view text) {
+    return XXH64(text.data(), text.size(), hash);
+}
+
 } // namespace lovagetack::base
--- a/source/base/key_hash.hpp
+++ b/source/base/key_hash.hpp
@@ -11,4 +11,7 @@
 /// Score of a candidate for an item in rendezvous hashing; the highest score wins.
 [[nodiscard]] std::uint64_t rendezvous_score(std::string_view item, std::string_view candidate);
 
+/// Hash of a text and of all that `hash` already covers.
+[[nodiscard]] std::uint64_t chained_hash(std::uint64_t hash, std::string_view text);
+
 } // namespace lovagetack::base
--- a/source/base/result_code.cpp
+++ b/source/base/result_code.cpp
@@ -54,6 +54,8 @@
         return "request_too_many_connections";
     case result_code::request_answer_malformed:
         return "request_answer_malformed";
+    case result_code::request_quarantined:
+        return "request_quarantined";
     case result_code::ownership_no_owner:
         return "ownership_no_owner";
     case result_code::ownership_epoch_refused:
--- a/source/base/result_code.hpp
+++ b/source/base/result_code.hpp
@@ -34,6 +34,7 @@
     request_out_of_service = 2020,
     request_too_many_connections = 2021,
     request_answer_malformed = 2022,
+    request_quarantined = 2023,
 
     ownership_no_owner = 3001,
     ownership_epoch_refused = 3002,
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -236,6 +236,8 @@
     gauge("lovagetack_renewals", {}, state_.renewer.renewals.size());
     gauge("lovagetack_dispatched_slots", {}, state_.dispatch.slots.size());
     gauge("lovagetack_dispatcher_queue", {}, routing::queued_asks(state_));
+    gauge("lovagetack_quarantined_requests", {}, state_.quarantine.requests.size());
+    gauge("lovagetack_struck_requests", {}, state_.quarantine.struck.size());
     for (const auto table : routing::followed_tables) {
         gauge("lovagetack_table_version", {{"table", std::string(routing::name_of(table))}},
               number_of(routing::table_version(state_, table)));
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -71,6 +71,11 @@
     }
     void execute(const routing::request_table_changes& effect) { load_exchange_.send(effect, state_.instances); }
     void execute(const routing::send_known_changes& effect);
+    void execute(const routing::probe_server& effect) { relay_.execute(effect); }
+    void execute(const routing::send_strike& effect) { load_exchange_.send(effect, state_.instances); }
+    void execute(const routing::send_objection& effect) { load_exchange_.send(effect, state_.instances); }
+    void execute(const routing::write_quarantine& effect) { store_->execute(effect); }
+    void execute(const routing::lift_quarantine& effect) { store_->execute(effect); }
     void execute(const routing::grant_range& effect) { grants_->execute(effect); }
     void execute(const routing::release_range& effect) { grants_->execute(effect); }
     void execute(const routing::read_lease& effect) { store_->execute(effect); }
--- a/source/gateway/load_exchange.cpp
+++ b/source/gateway/load_exchange.cpp
@@ -207,6 +207,10 @@
     return report;
 }
 
+routing::request_strike decode_strike(const wire::GatewayStrike& message) {
+    return {message.request(), message.target(), model::backend_server_id(message.server()), message.server_born()};
+}
+
 /// Nothing for a table that this build does not know.
 std::optional<routing::followed_table> decode_table(std::uint32_t number) {
     if (number >= routing::followed_table_count) {
@@ -316,6 +320,14 @@
     send(encode(effect.report), effect.receiver, instances);
 }
 
+void load_exchange::send(const routing::send_strike& effect, const instance_records& instances) {
+    send(encode(effect.strike), effect.receiver, instances);
+}
+
+void load_exchange::send(const routing::send_objection& effect, const instance_records& instances) {
+    send(encode(effect.objection), effect.receiver, instances);
+}
+
 void load_exchange::send(const routing::send_change& effect, const model::instance_id& sender,
                          const instance_records& instances) {
     const auto bytes = encode(effect.change);
@@ -558,6 +570,24 @@
     return envelope.SerializeAsString();
 }
 
+std::string load_exchange::encode(const routing::request_strike& strike) {
+    wire::GatewayMessage envelope;
+    auto& message = *envelope.mutable_strike();
+    message.set_request(strike.request);
+    message.set_target(strike.target);
+    message.set_server(strike.server.value());
+    message.set_server_born(strike.server_born);
+    return envelope.SerializeAsString();
+}
+
+std::string load_exchange::encode(const routing::quarantine_objection& objection) {
+    wire::GatewayMessage envelope;
+    auto& message = *envelope.mutable_objection();
+    message.set_request(objection.request);
+    message.set_age_ms(static_cast<std::uint32_t>(objection.age.count()));
+    return envelope.SerializeAsString();
+}
+
 base::result<routing::event> load_exchange::decode(const QByteArray& bytes) {
     wire::GatewayMessage message;
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
@@ -605,6 +635,11 @@
         break;
     case wire::GatewayMessage::kSlotReport:
         return routing::event(decode_slot_report(message.slot_report()));
+    case wire::GatewayMessage::kStrike:
+        return routing::event(decode_strike(message.strike()));
+    case wire::GatewayMessage::kObjection:
+        return routing::event(routing::quarantine_objection{message.objection().request(),
+                                                            std::chrono::milliseconds(message.objection().age_ms())});
     case wire::GatewayMessage::BODY_NOT_SET:
         break;
     }
--- a/source/gateway/load_exchange.hpp
+++ b/source/gateway/load_exchange.hpp
@@ -36,6 +36,8 @@
     void send(const routing::send_slot_answer& effect, const instance_records& instances);
     void send(const routing::send_slot_release& effect, const instance_records& instances);
     void send(const routing::send_slot_report& effect, const instance_records& instances);
+    void send(const routing::send_strike& effect, const instance_records& instances);
+    void send(const routing::send_objection& effect, const instance_records& instances);
     void send(const routing::send_table_change& effect, const model::instance_id& sender,
               const instance_records& instances);
     void send(const routing::request_table_changes& effect, const instance_records& instances);
@@ -54,6 +56,8 @@
     [[nodiscard]] static std::string encode(const routing::table_change_received& message);
     [[nodiscard]] static std::string encode(const routing::table_changes_wanted& message);
     [[nodiscard]] static std::string encode(const routing::table_changes_unknown& message);
+    [[nodiscard]] static std::string encode(const routing::request_strike& strike);
+    [[nodiscard]] static std::string encode(const routing::quarantine_objection& objection);
     /// Returns the event of one of the encoded kinds. Fails with peer_message_malformed.
     [[nodiscard]] static base::result<routing::event> decode(const QByteArray& bytes);
 
--- a/source/gateway/ports.hpp
+++ b/source/gateway/ports.hpp
@@ -39,6 +39,8 @@
     virtual void execute(const routing::read_assignments& effect) = 0;
     virtual void execute(const routing::refresh_assignments& effect) = 0;
     virtual void execute(const routing::write_rows& effect) = 0;
+    virtual void execute(const routing::write_quarantine& effect) = 0;
+    virtual void execute(const routing::lift_quarantine& effect) = 0;
     virtual void execute(const routing::follow_store& effect) = 0;
     virtual void execute(const routing::apply_table_change& effect) = 0;
     virtual void execute(const routing::catch_up& effect) = 0;
--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -1,5 +1,6 @@
 #include "gateway/relay.hpp"
 
+#include "base/key_hash.hpp"
 #include "http/error_body.hpp"
 
 namespace lovagetack::gateway {
@@ -15,12 +16,24 @@
     return limits;
 }
 
+/// The same on all instances for requests that a backend server cannot tell apart.
+routing::request_fingerprint fingerprint_of(const http::server_connection& caller, const exchange& item) {
+    const auto method = caller.message().method_string();
+    auto hash = base::key_hash({method.data(), method.size()});
+    for (const std::string_view part :
+         {std::string_view(item.header.host), std::string_view(item.header.path), std::string_view(item.body)}) {
+        hash = base::chained_hash(hash, part);
+    }
+    return base::chained_hash(hash, item.header.key ? std::to_string(*item.header.key) : "");
+}
+
 } // namespace
 
 relay::relay(const dialect_port& dialect, event_handler on_event, std::size_t caller_connections)
     : dialect_(dialect), on_event_(std::move(on_event)), server_(*this, server_limits(caller_connections)) {}
 
 relay::~relay() {
+    probes_.clear();
     ended_attempts_.clear();
     exchanges_.clear();
 }
@@ -90,6 +103,7 @@
     event.key = item->header.key;
     event.deadline = item->header.deadline;
     event.arrived = item->arrived;
+    event.fingerprint = fingerprint_of(connection, *item);
     on_event_(event);
 }
 
@@ -155,6 +169,18 @@
     }
 }
 
+void relay::execute(const routing::probe_server& effect) {
+    if (probes_.contains(effect.server)) {
+        return;
+    }
+    auto probe = std::make_unique<server_probe>(pool_of(effect.address),
+                                                [this, server = effect.server](routing::probe_outcome outcome) {
+                                                    calls_.post([this, server] { probes_.erase(server); });
+                                                    on_event_(routing::server_probed{server, outcome});
+                                                });
+    probes_.emplace(effect.server, std::move(probe)).first->second->begin();
+}
+
 void relay::execute(const routing::deliver_answer& effect) {
     auto* const item = find(effect.exchange);
     if (item == nullptr || !item->caller || !item->failure) {
@@ -193,7 +219,8 @@
     const auto now = http::client_connection::clock::now();
     for (auto at = pools_.begin(); at != pools_.end();) {
         at->second->check_times(now);
-        const bool unused = at->second->connections() == 0 && at->second->waiting() == 0 && ended_attempts_.empty();
+        const bool unused =
+            at->second->connections() == 0 && at->second->waiting() == 0 && ended_attempts_.empty() && probes_.empty();
         at = unused ? pools_.erase(at) : std::next(at);
     }
 }
--- a/source/gateway/relay.hpp
+++ b/source/gateway/relay.hpp
@@ -10,6 +10,7 @@
 #include "base/result.hpp"
 #include "gateway/attempt.hpp"
 #include "gateway/ports.hpp"
+#include "gateway/server_probe.hpp"
 #include "http/connection_pool.hpp"
 #include "http/deferred_calls.hpp"
 #include "http/server.hpp"
@@ -33,6 +34,7 @@
 
     void execute(const routing::send_request& effect);
     void execute(const routing::cancel_attempt& effect);
+    void execute(const routing::probe_server& effect);
     /// Sends the caller the stored failure of the exchange.
     void execute(const routing::deliver_answer& effect);
     void execute(const routing::answer_caller& effect);
@@ -71,6 +73,8 @@
     std::map<std::pair<std::string, std::uint16_t>, std::unique_ptr<http::connection_pool>> pools_;
     /// Attempts that ended. They are destroyed from the event loop, when none of their functions is running.
     std::list<std::unique_ptr<attempt>> ended_attempts_;
+    /// Probes by server. One that has ended is destroyed from the event loop.
+    std::map<model::backend_server_id, std::unique_ptr<server_probe>> probes_;
     routing::exchange_id last_exchange_id_ = 0;
     routing::caller_limits limits_;
     std::size_t connection_limit_ = 16;
--- a/source/http/client_connection.hpp
+++ b/source/http/client_connection.hpp
@@ -78,6 +78,8 @@
     /// The connection is open and can carry a request.
     [[nodiscard]] bool is_idle() const { return phase_ == phase::idle; }
     [[nodiscard]] bool is_opening() const { return phase_ == phase::opening; }
+    /// No process listens at the address.
+    [[nodiscard]] bool was_refused() const { return stream_.was_refused(); }
     /// The connection carried a request before the current one.
     [[nodiscard]] bool was_used_before() const { return requests_ > 1; }
     /// Time at which the connection became idle or began to open.
--- a/source/http/connection_pool.cpp
+++ b/source/http/connection_pool.cpp
@@ -67,6 +67,7 @@
 
 void connection_pool::opened(client_connection& connection) {
     --opening_;
+    last_open_refused_ = false;
     const auto shared = connection.shared_from_this();
     if (!assign_to_waiter(shared, true)) {
         idle_.push_back(shared);
@@ -79,6 +80,7 @@
     remove(connection);
     if (!was_idle) {
         --opening_;
+        last_open_refused_ = connection.was_refused();
         fail_first_waiter();
     }
     open_for_waiters();
--- a/source/http/connection_pool.hpp
+++ b/source/http/connection_pool.hpp
@@ -52,6 +52,8 @@
     [[nodiscard]] std::size_t limit() const { return limit_; }
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
     [[nodiscard]] std::size_t waiting() const { return waiters_.size(); }
+    /// No process listens at the address: the last connection was refused, and no other one is open.
+    [[nodiscard]] bool refuses_connections() const { return last_open_refused_ && connections_.size() <= opening_; }
 
     /// Closes connections that did not open within the open time and those that have been idle for too long.
     void check_times(client_connection::clock::time_point now);
@@ -83,6 +85,7 @@
     std::size_t limit_;
     std::chrono::milliseconds open_time_;
     std::size_t opening_ = 0;
+    bool last_open_refused_ = false;
     std::unordered_map<client_connection*, std::shared_ptr<client_connection>> connections_;
     /// Ordered by last use. The most recently used connection is reused first, so that surplus ones reach the idle time
     /// and are closed.
--- a/source/http/socket_stream.cpp
+++ b/source/http/socket_stream.cpp
@@ -87,6 +87,7 @@
     QObject::connect(socket_.get(), &QTcpSocket::disconnected, &context_, [this] { handle_end(true); });
     QObject::connect(socket_.get(), &QTcpSocket::errorOccurred, &context_, [this](QAbstractSocket::SocketError error) {
         if (error != QAbstractSocket::RemoteHostClosedError) {
+            refused_ = error == QAbstractSocket::ConnectionRefusedError;
             const char* const name = QMetaEnum::fromType<QAbstractSocket::SocketError>().valueToKey(error);
             error_ = name != nullptr ? name : "unknown_error";
             handle_end(false);
--- a/source/http/socket_stream.hpp
+++ b/source/http/socket_stream.hpp
@@ -61,6 +61,8 @@
     [[nodiscard]] bool closed_by_peer() const { return closed_by_peer_; }
     /// Qt's name of the error that ended the connection; empty if the peer closed or reset it.
     [[nodiscard]] const std::string& error() const { return error_; }
+    /// The peer's machine answered the attempt to connect with a reset.
+    [[nodiscard]] bool was_refused() const { return refused_; }
     /// Distinguishes a reset from a regular close from now on; Qt reports both in the same way.
     void enable_reset_detection();
 
@@ -98,6 +100,7 @@
     std::uint64_t written_ = 0;
     bool closed_ = false;
     bool closed_by_peer_ = false;
+    bool refused_ = false;
     std::string error_;
     bool in_call_ = false;
     /// Duplicate descriptor of the connection, which stays open after Qt closes its own; -1 if there is none.
--- a/source/routing/assignment.hpp
+++ b/source/routing/assignment.hpp
@@ -78,11 +78,12 @@
 };
 
 /// The protocol version of this build, and the first ones whose instances follow orders of a keeper, pass changes of
-/// the store's tables on, and give out slots.
-inline constexpr std::uint32_t own_protocol = 1;
+/// the store's tables on, give out slots, and count strikes.
+inline constexpr std::uint32_t own_protocol = 2;
 inline constexpr std::uint32_t renewer_protocol = 1;
 inline constexpr std::uint32_t reader_protocol = 1;
 inline constexpr std::uint32_t dispatcher_protocol = 1;
+inline constexpr std::uint32_t quarantine_protocol = 2;
 
 /// The range of a key; null only if the assignment has no ranges.
 [[nodiscard]] const key_range* find_range(const assignment& assignment, std::uint32_t key);
--- a/source/routing/effect.hpp
+++ b/source/routing/effect.hpp
@@ -80,6 +80,34 @@
     renewal_report report;
 };
 
+/// Finds out whether a process listens at a backend server's address.
+struct probe_server {
+    model::backend_server_id server;
+    model::address address;
+};
+
+struct send_strike {
+    model::instance_id receiver;
+    request_strike strike;
+};
+
+struct send_objection {
+    model::instance_id receiver;
+    quarantine_objection objection;
+};
+
+/// Writes the row of the store that quarantines the request at all instances.
+struct write_quarantine {
+    request_fingerprint request = 0;
+    /// Host and path of the request, for people.
+    std::string target;
+};
+
+/// Removes that row.
+struct lift_quarantine {
+    request_fingerprint request = 0;
+};
+
 /// Follows the store's tables directly, or stops doing so.
 struct follow_store {
     bool follows = true;
@@ -180,7 +208,8 @@
 };
 
 using effect = std::variant<send_request, cancel_attempt, deliver_answer, answer_caller, grant_range, release_range,
-                            send_renewal_orders, send_renewal_report, follow_store, send_heartbeat, send_table_change,
+                            send_renewal_orders, send_renewal_report, probe_server, send_strike, send_objection,
+                            write_quarantine, lift_quarantine, follow_store, send_heartbeat, send_table_change,
                             request_table_changes, send_known_changes, apply_table_change, catch_up, send_slot_request,
                             send_slot_answer, send_slot_release, send_slot_report, send_load, send_change, read_lease,
                             read_assignments, refresh_assignments, write_rows, request_delivered, log_line>;
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -21,6 +21,10 @@
 /// Number of one open request of a caller, unique within the instance.
 using exchange_id = std::uint64_t;
 
+/// Hash of what makes two requests the same to a backend server: method, host, path, key and body. 0 if it is not
+/// known.
+using request_fingerprint = std::uint64_t;
+
 // Events from the store.
 
 /// The store stopped answering, or answers again.
@@ -129,6 +133,15 @@
     bool answered = false;
 };
 
+/// A row of the store quarantines the request.
+struct quarantine_learned {
+    request_fingerprint request = 0;
+};
+
+struct quarantine_removed {
+    request_fingerprint request = 0;
+};
+
 // Answers of backend servers to grants and releases.
 
 enum class grant_outcome : std::uint8_t {
@@ -229,6 +242,7 @@
     /// How long the caller waits, counted from `arrived`; 0 if it states no limit.
     std::chrono::milliseconds deadline{0};
     base::boot_time arrived;
+    request_fingerprint fingerprint = 0;
 };
 
 struct caller_left {
@@ -313,6 +327,36 @@
     cut_short,
 };
 
+// Requests that end backend servers.
+
+/// A run of a backend server has ended while the request was under work there.
+struct request_strike {
+    request_fingerprint request = 0;
+    /// Host and path, for people; cut off at longest_target.
+    std::string target;
+    model::backend_server_id server;
+    std::uint64_t server_born = 0;
+};
+
+/// The request has ended well at the sender.
+struct quarantine_objection {
+    request_fingerprint request = 0;
+    std::chrono::milliseconds age{0};
+};
+
+enum class probe_outcome : std::uint8_t {
+    connected,
+    /// No process listens at the address.
+    refused,
+    unanswered,
+};
+
+/// Answer to probe_server.
+struct server_probed {
+    model::backend_server_id server;
+    probe_outcome outcome = probe_outcome::unanswered;
+};
+
 // Slots of backend servers, which one instance, the dispatcher of a group of servers, gives out for all.
 
 /// Asks a dispatcher for a slot at any server of a group, or at one of them. Sent again until it is answered.
@@ -454,9 +498,10 @@
 using event = std::variant<store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected,
                            evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
                            assignment_learned, assignment_changed, assignments_complete, instance_updated,
-                           instance_removed, lease_read, rows_written, assignments_read, grant_ended, release_ended,
-                           renewal_orders, renewal_report, table_updated, slot_request, slot_answer, slot_release,
-                           slot_report, reader_heartbeat, table_change_received, table_changes_wanted,
+                           instance_removed, quarantine_learned, quarantine_removed, request_strike,
+                           quarantine_objection, server_probed, lease_read, rows_written, assignments_read, grant_ended,
+                           release_ended, renewal_orders, renewal_report, table_updated, slot_request, slot_answer,
+                           slot_release, slot_report, reader_heartbeat, table_change_received, table_changes_wanted,
                            table_changes_unknown, instance_load, request_arrived, caller_left, connection_dropped,
                            attempt_sent, answer_forwarding_started, attempt_ended, ticked, shutdown_begun>;
 
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -109,6 +109,34 @@
 /// lasts.
 inline constexpr std::chrono::microseconds evacuation_return = 5000ms;
 
+// Quarantine of requests that end backend servers.
+
+/// Runs of backend servers that have ended under a request before it is quarantined. Servers end for other reasons too,
+/// and a request that meets two such ends is rare.
+inline constexpr std::size_t quarantine_strikes = 3;
+/// How long a request is quarantined; a request that is deadly stays so until somebody has mended the servers.
+inline constexpr std::chrono::microseconds quarantine_time = 10min;
+/// Delay with which the next collector in rank ends a quarantine, in case those before it are lost.
+inline constexpr std::chrono::microseconds quarantine_rank_delay = 5s;
+/// A row that has not appeared is written again after this time.
+inline constexpr std::chrono::microseconds quarantine_retry = 1s;
+/// Longer than the quarantine, so that one more strike after it begins the next.
+inline constexpr std::chrono::microseconds strike_memory = 30min;
+/// How long an instance remembers that a request ended well, and how many such requests.
+inline constexpr std::chrono::microseconds good_end_memory = 60s;
+inline constexpr std::size_t most_good_ends = 32768;
+/// Time from the loss of a connection until the registry shows that the server has ended.
+inline constexpr std::chrono::microseconds suspicion_time = 5s;
+inline constexpr std::chrono::microseconds probe_pause = 1s;
+/// Instances that count the strikes of one request in a large deployment.
+inline constexpr std::size_t strike_collectors = 3;
+inline constexpr std::size_t most_suspicions = 256;
+inline constexpr std::size_t most_struck_requests = 1024;
+/// Bounds the rows in the store.
+inline constexpr std::size_t most_quarantined_requests = 1024;
+/// Bytes of a request's host and path that logs and rows show.
+inline constexpr std::size_t longest_target = 200;
+
 // Dispatchers of slots, in a large deployment.
 
 /// Servers of a data centre and service that one dispatcher gives out: enough that a free slot is likely while half of
--- /dev/null
+++ b/source/routing/quarantine.cpp
@@ -0,0 +1,290 @@
+#include "routing/quarantine.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/key_hash.hpp"
+#include "routing/exchanges.hpp"
+#include "routing/limits.hpp"
+#include "routing/log_fields.hpp"
+
+namespace lovagetack::routing {
+namespace {
+
+std::chrono::milliseconds in_whole_milliseconds(std::chrono::microseconds time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
+/// The instances that count the strikes of a request: all of a small deployment, else the first by rendezvous hashing.
+/// Several, since each of them can be down and each message can be lost.
+std::vector<model::instance_id> collectors_of(const state& state, request_fingerprint request) {
+    std::vector<std::pair<std::uint64_t, model::instance_id>> ranked;
+    const auto item = std::to_string(request);
+    for (const auto& [id, record] : state.instances) {
+        if (record.protocol >= quarantine_protocol || id == state.self.instance) {
+            ranked.emplace_back(base::rendezvous_score(item, id.value()), id);
+        }
+    }
+    const auto count =
+        state.instances.size() > small_deployment ? std::min(strike_collectors, ranked.size()) : ranked.size();
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
+                      [](const auto& left, const auto& right) { return left > right; });
+    std::vector<model::instance_id> collectors;
+    for (std::size_t rank = 0; rank < count; ++rank) {
+        collectors.push_back(ranked[rank].second);
+    }
+    return collectors;
+}
+
+/// Position of this instance among the collectors of the request; nothing if it is none.
+std::optional<std::size_t> own_rank(const state& state, request_fingerprint request) {
+    const auto collectors = collectors_of(state, request);
+    const auto found = std::find(collectors.begin(), collectors.end(), state.self.instance);
+    if (found == collectors.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - collectors.begin());
+}
+
+void report_strike(step& step, const suspicion& suspicion) {
+    const request_strike strike{suspicion.request, suspicion.target, suspicion.server, suspicion.server_born};
+    step.state.quarantine.good_ends.erase(suspicion.request);
+    step.add(log_line{true,
+                      "server_ended_under_request",
+                      {text_field("server", suspicion.server.value()), text_field("target", suspicion.target),
+                       number_field("fingerprint", suspicion.request)}});
+    for (const auto& receiver : collectors_of(step.state, suspicion.request)) {
+        if (receiver == step.state.self.instance) {
+            collect_strike(step, strike);
+        } else {
+            step.add(send_strike{receiver, strike});
+        }
+    }
+}
+
+/// Tells the collectors that the request has ended well, although servers are said to end under it.
+void object(step& step, request_fingerprint request, base::boot_time good_end) {
+    const quarantine_objection objection{request, in_whole_milliseconds(step.now - good_end)};
+    for (const auto& receiver : collectors_of(step.state, request)) {
+        if (receiver == step.state.self.instance) {
+            collect_objection(step, objection);
+        } else {
+            step.add(send_objection{receiver, objection});
+        }
+    }
+}
+
+void forget_oldest_struck_request(quarantine_state& quarantine) {
+    const auto oldest =
+        std::min_element(quarantine.struck.begin(), quarantine.struck.end(), [](const auto& left, const auto& right) {
+            return left.second.last_strike_at < right.second.last_strike_at;
+        });
+    quarantine.struck.erase(oldest);
+}
+
+void forget_old_good_ends(quarantine_state& quarantine, base::boot_time now) {
+    auto& order = quarantine.good_end_order;
+    while (!order.empty() &&
+           (now - order.front().first > good_end_memory || quarantine.good_ends.size() > most_good_ends)) {
+        const auto [at, request] = order.front();
+        order.pop_front();
+        const auto found = quarantine.good_ends.find(request);
+        if (found != quarantine.good_ends.end() && found->second <= at) {
+            quarantine.good_ends.erase(found);
+        }
+    }
+}
+
+/// Removes the row of a quarantine, unless that was done just now.
+void lift(step& step, request_fingerprint request, quarantined_request& record) {
+    if (record.lifted_at == base::boot_time() || step.now - record.lifted_at >= quarantine_retry) {
+        record.lifted_at = step.now;
+        step.add(lift_quarantine{request});
+    }
+}
+
+/// Ends quarantines that have lasted long enough.
+void end_old_quarantines(step& step) {
+    auto& quarantine = step.state.quarantine;
+    for (auto& [request, record] : quarantine.requests) {
+        if (step.now - record.since < quarantine_time) {
+            continue;
+        }
+        const auto rank = own_rank(step.state, request);
+        if (!rank ||
+            step.now - record.since < quarantine_time + quarantine_rank_delay * static_cast<std::int64_t>(*rank)) {
+            continue;
+        }
+        lift(step, request, record);
+    }
+}
+
+} // namespace
+
+bool is_quarantined(const state& state, request_fingerprint request) {
+    return request != 0 && state.quarantine.requests.contains(request);
+}
+
+std::chrono::milliseconds quarantine_time_left(const step& step, request_fingerprint request) {
+    const auto found = step.state.quarantine.requests.find(request);
+    const auto since = found == step.state.quarantine.requests.end() ? step.now : found->second.since;
+    return std::max(std::chrono::milliseconds(1000), in_whole_milliseconds(since + quarantine_time - step.now));
+}
+
+void suspect_request(step& step, const exchange& exchange) {
+    auto& quarantine = step.state.quarantine;
+    const auto server = step.state.servers.find(exchange.server);
+    if (exchange.request.fingerprint == 0 || server == step.state.servers.end()) {
+        return;
+    }
+    if (quarantine.suspicions.size() >= most_suspicions) {
+        quarantine.suspicions.pop_front();
+    }
+    const auto target = exchange.request.host + exchange.request.path;
+    quarantine.suspicions.push_back({exchange.request.fingerprint, target.substr(0, longest_target), exchange.server,
+                                     server->second.registration.born, step.now});
+    auto& probed_at = quarantine.probed_at[exchange.server];
+    if (probed_at == base::boot_time() || step.now - probed_at >= probe_pause) {
+        probed_at = step.now;
+        step.add(probe_server{exchange.server, server->second.registration.address});
+    }
+}
+
+bool is_suspected_again(const state& state, request_fingerprint request) {
+    if (request == 0) {
+        return false;
+    }
+    const auto& quarantine = state.quarantine;
+    const auto suspicions = std::count_if(quarantine.suspicions.begin(), quarantine.suspicions.end(),
+                                          [request](const auto& item) { return item.request == request; });
+    const auto struck = quarantine.struck.find(request);
+    const auto strikes = struck == quarantine.struck.end() ? 0 : struck->second.runs.size();
+    return static_cast<std::size_t>(suspicions) + strikes > 1;
+}
+
+void note_good_end(step& step, request_fingerprint request) {
+    if (request == 0) {
+        return;
+    }
+    auto& quarantine = step.state.quarantine;
+    quarantine.good_ends[request] = step.now;
+    quarantine.good_end_order.emplace_back(step.now, request);
+    forget_old_good_ends(quarantine, step.now);
+    if (quarantine.requests.contains(request) || quarantine.struck.contains(request)) {
+        object(step, request, step.now);
+    }
+}
+
+void note_server_ended(step& step, const model::backend_server_id& server) {
+    std::vector<suspicion> confirmed;
+    std::erase_if(step.state.quarantine.suspicions, [&](const suspicion& item) {
+        const bool is_confirmed = item.server == server;
+        if (is_confirmed) {
+            confirmed.push_back(item);
+        }
+        return is_confirmed;
+    });
+    for (const auto& item : confirmed) {
+        report_strike(step, item);
+    }
+}
+
+void end_probe(step& step, const server_probed& event) {
+    if (event.outcome == probe_outcome::refused) {
+        note_server_ended(step, event.server);
+    } else if (event.outcome == probe_outcome::connected) {
+        std::erase_if(step.state.quarantine.suspicions,
+                      [&event](const suspicion& item) { return item.server == event.server; });
+    }
+}
+
+void collect_strike(step& step, const request_strike& strike) {
+    auto& quarantine = step.state.quarantine;
+    if (!quarantine.struck.contains(strike.request) && quarantine.struck.size() >= most_struck_requests) {
+        forget_oldest_struck_request(quarantine);
+    }
+    auto& record = quarantine.struck[strike.request];
+    record.target = strike.target;
+    record.last_strike_at = step.now;
+    record.runs.try_emplace({strike.server, strike.server_born}, step.now);
+    run_quarantine(step);
+}
+
+void collect_objection(step& step, const quarantine_objection& objection) {
+    auto& quarantine = step.state.quarantine;
+    const auto good_end = step.now - objection.age;
+    const auto found = quarantine.struck.find(objection.request);
+    if (found != quarantine.struck.end()) {
+        std::erase_if(found->second.runs, [good_end](const auto& run) { return run.second <= good_end; });
+        if (found->second.runs.size() >= quarantine_strikes) {
+            return;
+        }
+        if (found->second.runs.empty()) {
+            quarantine.struck.erase(found);
+        }
+    }
+    const auto quarantined = quarantine.requests.find(objection.request);
+    if (quarantined != quarantine.requests.end()) {
+        lift(step, objection.request, quarantined->second);
+    }
+}
+
+void begin_quarantine(step& step, request_fingerprint request) {
+    auto& quarantine = step.state.quarantine;
+    if (!quarantine.requests.try_emplace(request, quarantined_request{step.now, {}}).second) {
+        return;
+    }
+    step.add(log_line{true, "request_quarantined", {number_field("fingerprint", request)}});
+    const auto good_end = quarantine.good_ends.find(request);
+    if (good_end != quarantine.good_ends.end()) {
+        object(step, request, good_end->second);
+    }
+    std::vector<exchange_id> waiting;
+    for (const auto& [id, exchange] : step.state.exchanges) {
+        if (exchange.request.fingerprint == request && exchange.phase != exchange_phase::sent) {
+            waiting.push_back(id);
+        }
+    }
+    for (const auto id : waiting) {
+        answer(step, id, base::result_code::request_quarantined, quarantine_time_left(step, request));
+    }
+}
+
+void end_quarantine(step& step, request_fingerprint request) {
+    auto& quarantine = step.state.quarantine;
+    const auto found = quarantine.requests.find(request);
+    if (found == quarantine.requests.end()) {
+        return;
+    }
+    // Other collectors may have learned of the row a little later. A row that was lost earlier is written again.
+    const bool is_over = step.now - found->second.since >= quarantine_time - quarantine_rank_delay;
+    const auto struck = quarantine.struck.find(request);
+    while (is_over && struck != quarantine.struck.end() && struck->second.runs.size() >= quarantine_strikes) {
+        // One strike fewer is left, so that the next one begins the quarantine again.
+        struck->second.runs.erase(struck->second.runs.begin());
+    }
+    quarantine.requests.erase(found);
+    step.add(log_line{false, "quarantine_ended", {number_field("fingerprint", request)}});
+}
+
+void run_quarantine(step& step) {
+    auto& quarantine = step.state.quarantine;
+    while (!quarantine.suspicions.empty() && step.now - quarantine.suspicions.front().since > suspicion_time) {
+        quarantine.suspicions.pop_front();
+    }
+    std::erase_if(quarantine.probed_at, [&step](const auto& entry) { return step.now - entry.second > probe_pause; });
+    std::erase_if(quarantine.struck,
+                  [&step](const auto& entry) { return step.now - entry.second.last_strike_at > strike_memory; });
+    for (auto& [request, record] : quarantine.struck) {
+        const bool is_due = record.runs.size() >= quarantine_strikes && !quarantine.requests.contains(request) &&
+                            quarantine.requests.size() < most_quarantined_requests;
+        if (is_due && (record.written_at == base::boot_time() || step.now - record.written_at >= quarantine_retry)) {
+            record.written_at = step.now;
+            step.add(write_quarantine{request, record.target});
+        }
+    }
+    end_old_quarantines(step);
+}
+
+} // namespace lovagetack::routing
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -9,6 +9,7 @@
 #include "routing/keeper.hpp"
 #include "routing/log_fields.hpp"
 #include "routing/peers.hpp"
+#include "routing/quarantine.hpp"
 #include "routing/readers.hpp"
 #include "routing/renewing.hpp"
 #include "routing/requests.hpp"
@@ -87,6 +88,26 @@
     forget_reader_ranks(step);
 }
 
+void on(step& step, const quarantine_learned& event) {
+    begin_quarantine(step, event.request);
+}
+
+void on(step& step, const quarantine_removed& event) {
+    end_quarantine(step, event.request);
+}
+
+void on(step& step, const request_strike& event) {
+    collect_strike(step, event);
+}
+
+void on(step& step, const quarantine_objection& event) {
+    collect_objection(step, event);
+}
+
+void on(step& step, const server_probed& event) {
+    end_probe(step, event);
+}
+
 void on(step& step, const lease_read& event) {
     end_lease_read(step, event);
 }
@@ -188,6 +209,7 @@
     remove_silent_peers(step);
     run_renewals(step);
     run_readers(step);
+    run_quarantine(step);
     run_dispatcher(step);
     run_asks(step);
 }
@@ -203,10 +225,10 @@
         return (std::holds_alternative<Events>(event) || ...);
     };
     return !is_any_of(
-        std::type_identity<
-            std::variant<request_arrived, caller_left, connection_dropped, attempt_sent, answer_forwarding_started,
-                         attempt_ended, instance_load, renewal_orders, renewal_report, reader_heartbeat, slot_request,
-                         slot_answer, slot_release, slot_report>>());
+        std::type_identity<std::variant<request_arrived, caller_left, connection_dropped, attempt_sent,
+                                        answer_forwarding_started, attempt_ended, instance_load, renewal_orders,
+                                        renewal_report, reader_heartbeat, slot_request, slot_answer, slot_release,
+                                        slot_report, request_strike, quarantine_objection, server_probed>>());
 }
 
 } // namespace
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -7,6 +7,7 @@
 #include "routing/exchanges.hpp"
 #include "routing/log_fields.hpp"
 #include "routing/peers.hpp"
+#include "routing/quarantine.hpp"
 #include "routing/servers.hpp"
 
 namespace lovagetack::routing {
@@ -244,7 +245,8 @@
 /// be answered instead. `takes_token`: charge the retry budget.
 bool retry(step& step, exchange_id id, bool takes_token) {
     auto& exchange = step.state.exchanges.at(id);
-    if (exchange.attempts_left <= 0 || exchange.expires_at <= step.now + answer_margin) {
+    if (exchange.attempts_left <= 0 || exchange.expires_at <= step.now + answer_margin ||
+        is_quarantined(step.state, exchange.request.fingerprint)) {
         return false;
     }
     if (takes_token && !take_retry_token(service_of(step, exchange))) {
@@ -307,6 +309,10 @@
     exchange.expires_at = event.arrived + longest_wait;
     exchange.service = choose_target(step, *route);
     state.deadlines.insert({exchange.expires_at, id});
+    if (is_quarantined(state, event.fingerprint)) {
+        answer(step, id, result_code::request_quarantined, quarantine_time_left(step, event.fingerprint));
+        return;
+    }
     auto& service = service_of(step, exchange);
     service.retry_tokens = std::min(most_retry_tokens, service.retry_tokens + retry_share);
     if (!divided_by_key(state, exchange.service)) {
@@ -413,6 +419,12 @@
     }
     const auto elapsed_milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
     release_ask(step, exchange, attempt_summary{event.outcome, event.status, elapsed_milliseconds, event.load});
+    if (event.outcome == attempt_outcome::delivered || event.outcome == attempt_outcome::failed) {
+        note_good_end(step, exchange.request.fingerprint);
+    }
+    if (event.outcome == attempt_outcome::connection_lost || event.outcome == attempt_outcome::cut_short) {
+        suspect_request(step, exchange);
+    }
     if (event.outcome == attempt_outcome::delivered) {
         ++step.state.delivered;
         step.add(
@@ -459,7 +471,8 @@
     case attempt_outcome::connection_lost:
     case attempt_outcome::invalid_answer:
         exchange.may_have_run = true;
-        if (!idempotent || !retry(step, event.exchange, true)) {
+        if (!idempotent || is_suspected_again(step.state, exchange.request.fingerprint) ||
+            !retry(step, event.exchange, true)) {
             answer(step, event.exchange, result_code::request_answer_cut_short, spread_retry_after(step));
         }
         return;
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -6,6 +6,7 @@
 
 #include "routing/groups.hpp"
 #include "routing/log_fields.hpp"
+#include "routing/quarantine.hpp"
 
 namespace lovagetack::routing {
 namespace {
@@ -106,6 +107,9 @@
         return;
     }
     step.state.missing_servers.erase(server.id);
+    if (!is_new && record.registration.born != server.born) {
+        note_server_ended(step, server.id);
+    }
     const bool needs_reset = is_new || !record.registered || record.registration.born != server.born;
     if (needs_reset) {
         forget_groups(step.state);
@@ -144,6 +148,7 @@
         return;
     }
     found->second.registered = false;
+    note_server_ended(step, id);
     forget_groups(step.state);
     if (!found->second.leaving_since) {
         found->second.leaving_since = step.now;
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -406,6 +406,42 @@
     std::array<base::boot_time, followed_table_count> asked_at{};
 };
 
+/// A request that may have ended a server, until that is known.
+struct suspicion {
+    request_fingerprint request = 0;
+    std::string target;
+    model::backend_server_id server;
+    std::uint64_t server_born = 0;
+    base::boot_time since;
+};
+
+/// A collector's record of a request under which servers have ended.
+struct struck_request {
+    std::string target;
+    /// Runs of servers, by id and start, and when their ends were reported.
+    std::map<std::pair<model::backend_server_id, std::uint64_t>, base::boot_time> runs;
+    base::boot_time last_strike_at;
+    base::boot_time written_at;
+};
+
+/// A request that a row of the store quarantines.
+struct quarantined_request {
+    base::boot_time since;
+    /// When this instance last removed the row.
+    base::boot_time lifted_at;
+};
+
+/// Requests that end backend servers, or may do so.
+struct quarantine_state {
+    std::deque<suspicion> suspicions;
+    std::map<model::backend_server_id, base::boot_time> probed_at;
+    std::map<request_fingerprint, struck_request> struck;
+    std::map<request_fingerprint, quarantined_request> requests;
+    /// When requests last ended well here, and the same in the order of these times.
+    std::unordered_map<request_fingerprint, base::boot_time> good_ends;
+    std::deque<std::pair<base::boot_time, request_fingerprint>> good_end_order;
+};
+
 /// State of the routing decisions. Only reduce() changes it.
 struct state {
     state(identity id, std::uint64_t seed) : self(std::move(id)), random(seed) {}
@@ -456,6 +492,7 @@
     renewer_state renewer;
     reader_state readers;
     dispatch_state dispatch;
+    quarantine_state quarantine;
     /// In a large deployment, dispatchers give out the slots of backend servers.
     bool uses_dispatchers = true;
     std::uint64_t last_attempt = 0;
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -212,6 +212,57 @@
     REQUIRE(std::get<routing::caller_left>(test.events.back()).cause == "closed_by_caller");
 }
 
+// Guards against a request that is not recognized when it comes again under another id, and against others taken for
+// it.
+TEST_CASE("requests have the same fingerprint if they differ in their ids only") {
+    fixture test;
+    const auto fingerprint = [&test](const std::string& text) {
+        test.events.clear();
+        raw_socket caller(test.port);
+        caller.send(text);
+        const routing::request_arrived* arrived = nullptr;
+        test::run_until([&] {
+            for (const auto& event : test.events) {
+                arrived = std::holds_alternative<routing::request_arrived>(event)
+                              ? &std::get<routing::request_arrived>(event)
+                              : arrived;
+            }
+            return arrived != nullptr;
+        });
+        return arrived->fingerprint;
+    };
+    const std::string id = "Lovagetack-Request-Id: ";
+    const auto first = fingerprint("POST /a HTTP/1.1\r\nHost: h\r\n" + id + "1\r\nContent-Length: 2\r\n\r\nxy");
+    REQUIRE(first != 0);
+    const std::string chunked = "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n1\r\ny\r\n0\r\n\r\n";
+    CHECK(fingerprint("POST /a HTTP/1.1\r\nHost: h\r\n" + id + "2" + chunked) == first);
+    CHECK(fingerprint("POST /a HTTP/1.1\r\nHost: h\r\n" + id + "1\r\nContent-Length: 2\r\n\r\nyx") != first);
+    CHECK(fingerprint("POST /b HTTP/1.1\r\nHost: h\r\n" + id + "1\r\nContent-Length: 2\r\n\r\nxy") != first);
+    CHECK(fingerprint("PUT /a HTTP/1.1\r\nHost: h\r\n" + id + "1\r\nContent-Length: 2\r\n\r\nxy") != first);
+    CHECK(fingerprint("POST /a HTTP/1.1\r\nHost: h\r\nLovagetack-Shard-Key: 5\r\n" + id +
+                      "1\r\nContent-Length: 2\r\n\r\nxy") != first);
+}
+
+// Guards against a server that only dropped a connection and counts as ended.
+TEST_CASE("a probe tells a server that lives from one that has ended") {
+    fixture test;
+    const model::address address{"127.0.0.1", test.server->port()};
+    const auto probe = [&] {
+        const auto before = test.events.size();
+        test.relay->execute(routing::probe_server{model::backend_server_id("i-1"), address});
+        test::run_until([&] { return test.events.size() > before; });
+        test::settle();
+        return std::get<routing::server_probed>(test.events[before]).outcome;
+    };
+    CHECK(probe() == routing::probe_outcome::connected);
+    test.server->stop_listening();
+    // The connection of the first probe is still open, so the server has not ended.
+    CHECK(probe() == routing::probe_outcome::unanswered);
+    test.server->connection(0).close();
+    test::settle();
+    CHECK(probe() == routing::probe_outcome::refused);
+}
+
 TEST_CASE("a grant names the expected server, and status 421 of another server at its address counts as refused") {
     test::ensure_application();
     test::raw_listener server;
@@ -297,6 +348,22 @@
     REQUIRE_FALSE(reported.renewals.front().accepted);
 }
 
+TEST_CASE("strikes and objections are decoded as they were encoded") {
+    const auto decode = [](const std::string& bytes) {
+        return load_exchange::decode(QByteArray::fromStdString(bytes)).value();
+    };
+    const routing::request_strike strike{~0ULL, "host/get/1", model::backend_server_id("i-1"), 9};
+    const auto struck = std::get<routing::request_strike>(decode(load_exchange::encode(strike)));
+    REQUIRE(struck.request == strike.request);
+    REQUIRE(struck.target == strike.target);
+    REQUIRE(struck.server == strike.server);
+    REQUIRE(struck.server_born == 9);
+    const routing::quarantine_objection objection{7, std::chrono::milliseconds(30)};
+    const auto objected = std::get<routing::quarantine_objection>(decode(load_exchange::encode(objection)));
+    REQUIRE(objected.request == 7);
+    REQUIRE(objected.age == objection.age);
+}
+
 TEST_CASE("a change of an assignment is decoded as it was encoded") {
     routing::key_range range{256, 511, model::backend_server_id("i-2"), 9, 12, model::backend_server_id("i-1"), 8, 11};
     const routing::assignment_changed change{model::service_id("s"), 40, 42, 13, model::instance_id("one"), {range}};
--- a/tests/operators_platform/store_test.cpp
+++ b/tests/operators_platform/store_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -288,6 +290,48 @@
     REQUIRE(waits[3] == waits[0]);
 }
 
+TEST_CASE("a quarantine is a row of the own table that is written, learned and removed") {
+    fixture test;
+    std::vector<QByteArray> written;
+    int feed_calls = 0;
+    constexpr routing::request_fingerprint request = 0xfedcba9876543210;
+    test.on_request = [&](const fake_request& call) -> std::optional<fake_answer> {
+        if (call.path.contains("rows-tx")) {
+            written.push_back(call.body);
+            return fake_answer{200, R"({"ver": 1, "now_ms": 1})"};
+        }
+        const bool own = call.path.contains("table=lovagetack&");
+        if (call.path.contains("rows-get")) {
+            return own ? rows({row("lovagetack", "quarantine/fedcba9876543210", "host/get/1", 4),
+                               row("lovagetack", "quarantine/odd", "", 4)},
+                              5)
+                       : rows({}, 5);
+        }
+        if (!own || ++feed_calls > 1) {
+            return std::nullopt;
+        }
+        auto removed = row("lovagetack", "quarantine/fedcba9876543210", "", 7);
+        removed.insert("deleted", true);
+        return rows({removed}, 7);
+    };
+    test.client->start({});
+    test.client->execute(routing::follow_store{true});
+    REQUIRE(platform::wait_until([&] { return !test.all<routing::quarantine_removed>().empty(); }));
+    REQUIRE(test.all<routing::quarantine_learned>().size() == 1);
+    CHECK(test.all<routing::quarantine_learned>().front().request == request);
+    CHECK(test.all<routing::quarantine_removed>().front().request == request);
+    written.clear();
+    test.client->execute(routing::write_quarantine{request, "host/get/1"});
+    test.client->execute(routing::lift_quarantine{request});
+    REQUIRE(platform::wait_until([&] { return written.size() == 2; }));
+    CHECK(std::count_if(written.begin(), written.end(), [](const QByteArray& body) {
+              return body.contains(R"("puts":[{"key":"quarantine/fedcba9876543210")");
+          }) == 1);
+    CHECK(std::count_if(written.begin(), written.end(), [](const QByteArray& body) {
+              return body.contains(R"("remove":[{"key":"quarantine/fedcba9876543210")");
+          }) == 1);
+}
+
 TEST_CASE("each answer to a write, and a missing one, is reported with its outcome") {
     fixture test;
     int status = 200;
--- a/tests/routing/deployment.hpp
+++ b/tests/routing/deployment.hpp
@@ -140,6 +140,12 @@
     void execute(int instance, const send_slot_answer& /*effect*/) { (void)instance; }
     void execute(int instance, const send_slot_release& /*effect*/) { (void)instance; }
     void execute(int instance, const send_slot_report& /*effect*/) { (void)instance; }
+    // No requests are sent to the servers of this deployment.
+    void execute(int instance, const probe_server& /*effect*/) { (void)instance; }
+    void execute(int instance, const send_strike& /*effect*/) { (void)instance; }
+    void execute(int instance, const send_objection& /*effect*/) { (void)instance; }
+    void execute(int instance, const write_quarantine& /*effect*/) { (void)instance; }
+    void execute(int instance, const lift_quarantine& /*effect*/) { (void)instance; }
     void execute(int instance, const send_change& effect);
     void execute(int instance, const send_renewal_orders& effect);
     void execute(int instance, const send_renewal_report& effect);
--- a/tests/routing/load_play.hpp
+++ b/tests/routing/load_play.hpp
@@ -245,6 +245,12 @@
     void execute(simulated_instance& /*instance*/, const send_slot_release& effect) {
         deliver(effect.receiver, effect.release);
     }
+    // The servers of this load do not end.
+    void execute(simulated_instance& /*instance*/, const probe_server& /*effect*/) {}
+    void execute(simulated_instance& /*instance*/, const send_strike& /*effect*/) {}
+    void execute(simulated_instance& /*instance*/, const send_objection& /*effect*/) {}
+    void execute(simulated_instance& /*instance*/, const write_quarantine& /*effect*/) {}
+    void execute(simulated_instance& /*instance*/, const lift_quarantine& /*effect*/) {}
     void execute(simulated_instance& /*instance*/, const send_slot_report& effect) {
         deliver(effect.receiver, effect.report);
     }
--- /dev/null
+++ b/tests/routing/quarantine_test.cpp
@@ -0,0 +1,325 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "routing/reduce.hpp"
+#include "routing/samples.hpp"
+
+namespace lovagetack::routing::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+const model::service_id book{"book"};
+
+constexpr auto message_delay = 2ms;
+constexpr auto store_delay = 30ms;
+constexpr auto work_time = 60ms;
+/// When the registry drops a server that has ended without a word.
+constexpr auto silence_time = 2600ms;
+constexpr request_fingerprint deadly = 666;
+
+/// Instances, a store and backend servers in simulated time. A server ends when it begins to run a deadly request.
+class play {
+public:
+    play(int instances, int servers) {
+        for (int number = 0; number < servers; ++number) {
+            start_server();
+        }
+        for (int number = 0; number < instances; ++number) {
+            start_instance();
+        }
+    }
+
+    std::size_t start_instance() {
+        const model::instance_id name("instance-" + std::to_string(states_.size()));
+        states_.push_back(std::make_unique<state>(identity{name, model::data_centre_id("north"), 1}, states_.size()));
+        const auto number = states_.size() - 1;
+        states_[number]->uses_dispatchers = false;
+        configuration configuration;
+        configuration.version = 1;
+        configuration.services[book] = {book, "/health", 100, 6.0, 3000ms, false};
+        configuration.routes = {route_to("/get/", request_kind::idempotent, book),
+                                route_to("/pay/", request_kind::non_idempotent, book)};
+        process(number, configuration_updated{configuration});
+        for (const auto& [id, server] : servers_) {
+            process(number, backend_server_updated{server});
+        }
+        process(number, registry_complete{});
+        for (const auto request : rows_) {
+            process(number, quarantine_learned{request});
+        }
+        process(number, assignments_complete{});
+        for (std::size_t other = 0; other < states_.size(); ++other) {
+            const instance_record record{model::data_centre_id("north"), 1, {}, 0, own_protocol};
+            process(number, instance_updated{states_[other]->self.instance, record});
+            process(other, instance_updated{name, record});
+        }
+        return number;
+    }
+
+    void start_server() {
+        auto server = server_of("server-" + std::to_string(++last_server_), book);
+        server.born = static_cast<std::uint64_t>(last_server_);
+        servers_[server.id] = server;
+        for (std::size_t number = 0; number < states_.size(); ++number) {
+            process(number, backend_server_updated{server});
+        }
+    }
+
+    void end_server(const model::backend_server_id& server) {
+        if (servers_.erase(server) == 0) {
+            return;
+        }
+        ended_at_.push_back(now_);
+        for (const auto& attempt : std::exchange(attempts_[server], {})) {
+            end_attempt(attempt, attempt_outcome::connection_lost, 0);
+        }
+        after(silence_time, [this, server] {
+            for (std::size_t number = 0; number < states_.size(); ++number) {
+                process(number, backend_server_removed{server});
+            }
+        });
+        after(4000ms, [this] { start_server(); });
+    }
+
+    exchange_id request(std::size_t instance, request_fingerprint fingerprint, const std::string& path = "/get/1") {
+        request_arrived event;
+        event.exchange = ++last_exchange_;
+        event.request = "id-" + std::to_string(last_exchange_);
+        event.host = "host";
+        event.path = path;
+        event.deadline = 2000ms;
+        event.arrived = now_;
+        event.fingerprint = fingerprint;
+        process(instance, event);
+        return last_exchange_;
+    }
+
+    void run_for(std::chrono::microseconds time) {
+        const auto end = now_ + time;
+        while (now_ < end) {
+            now_ += 10ms;
+            while (!calls_.empty() && calls_.begin()->first <= now_) {
+                const auto function = std::move(calls_.begin()->second);
+                calls_.erase(calls_.begin());
+                function();
+            }
+            for (std::size_t number = 0; number < states_.size(); ++number) {
+                process(number, ticked{});
+            }
+        }
+    }
+
+    /// Requests of callers that repeat a deadly one, and of others, at instances in turn.
+    void send_deadly_requests(std::chrono::milliseconds time, const std::string& path) {
+        for (auto passed = 0ms; passed < time; passed += 100ms) {
+            const auto turn = static_cast<std::size_t>(passed / 100ms);
+            request(turn * 7 % states_.size(), deadly, path);
+            request(turn * 5 % states_.size(), 100000 + turn);
+            request(turn * 3 % states_.size(), 200000 + turn);
+            run_for(100ms);
+        }
+    }
+
+    /// Sends of the request later than the given time after it has ended the third server.
+    [[nodiscard]] std::size_t sends_after_third_end(request_fingerprint fingerprint, std::chrono::microseconds time) {
+        if (ended_at_.size() < 3) {
+            return 0;
+        }
+        const auto from = ended_at_[2] + time;
+        const auto& times = sent_at_[fingerprint];
+        return static_cast<std::size_t>(
+            std::count_if(times.begin(), times.end(), [from](base::boot_time at) { return at > from; }));
+    }
+
+    [[nodiscard]] std::size_t ended_servers() const { return ended_at_.size(); }
+    [[nodiscard]] std::size_t sends(request_fingerprint fingerprint) { return sent_at_[fingerprint].size(); }
+    [[nodiscard]] const std::set<request_fingerprint>& rows() const { return rows_; }
+    [[nodiscard]] const std::map<exchange_id, answer_caller>& answers() const { return answers_; }
+    [[nodiscard]] std::size_t writes() const { return writes_; }
+    [[nodiscard]] model::backend_server_id any_server() const { return servers_.begin()->first; }
+
+private:
+    struct sent_attempt {
+        std::size_t instance = 0;
+        send_request request;
+    };
+
+    void after(std::chrono::microseconds delay, std::function<void()> function) {
+        calls_.emplace(now_ + delay, std::move(function));
+    }
+
+    void process(std::size_t instance, const event& event) {
+        for (const auto& effect : reduce(*states_[instance], now_, event)) {
+            std::visit([this, instance](const auto& body) { execute(instance, body); }, effect);
+        }
+    }
+
+    template <class Effect>
+    void execute(std::size_t /*instance*/, const Effect& /*effect*/) {}
+
+    void execute(std::size_t instance, const send_request& effect) {
+        const auto fingerprint = states_[instance]->exchanges.at(effect.exchange).request.fingerprint;
+        sent_at_[fingerprint].push_back(now_);
+        const sent_attempt attempt{instance, effect};
+        if (!servers_.contains(effect.server)) {
+            after(message_delay, [this, attempt] { end_attempt(attempt, attempt_outcome::not_connected, 0); });
+            return;
+        }
+        process_later(instance, attempt_sent{effect.exchange, effect.attempt});
+        attempts_[effect.server].push_back(attempt);
+        if (fingerprint == deadly) {
+            after(message_delay, [this, server = effect.server] { end_server(server); });
+            return;
+        }
+        after(work_time, [this, attempt] {
+            auto& running = attempts_[attempt.request.server];
+            const auto erased = std::erase_if(
+                running, [&attempt](const auto& item) { return item.request.exchange == attempt.request.exchange; });
+            if (erased > 0) {
+                end_attempt(attempt, attempt_outcome::delivered, 200);
+            }
+        });
+    }
+
+    void execute(std::size_t instance, const probe_server& effect) {
+        const auto outcome = servers_.contains(effect.server) ? probe_outcome::connected : probe_outcome::refused;
+        process_later(instance, server_probed{effect.server, outcome});
+    }
+
+    void execute(std::size_t /*instance*/, const send_strike& effect) { deliver(effect.receiver, effect.strike); }
+    void execute(std::size_t /*instance*/, const send_objection& effect) { deliver(effect.receiver, effect.objection); }
+
+    void execute(std::size_t /*instance*/, const write_quarantine& effect) {
+        ++writes_;
+        rows_.insert(effect.request);
+        for (std::size_t number = 0; number < states_.size(); ++number) {
+            after(store_delay,
+                  [this, number, request = effect.request] { process(number, quarantine_learned{request}); });
+        }
+    }
+
+    void execute(std::size_t /*instance*/, const lift_quarantine& effect) {
+        rows_.erase(effect.request);
+        for (std::size_t number = 0; number < states_.size(); ++number) {
+            after(store_delay,
+                  [this, number, request = effect.request] { process(number, quarantine_removed{request}); });
+        }
+    }
+
+    void execute(std::size_t /*instance*/, const answer_caller& effect) { answers_[effect.exchange] = effect; }
+
+    void process_later(std::size_t instance, const event& event) {
+        after(message_delay, [this, instance, event] { process(instance, event); });
+    }
+
+    void deliver(const model::instance_id& receiver, const event& event) {
+        for (std::size_t number = 0; number < states_.size(); ++number) {
+            if (states_[number]->self.instance == receiver) {
+                process_later(number, event);
+            }
+        }
+    }
+
+    void end_attempt(const sent_attempt& attempt, attempt_outcome outcome, int status) {
+        process_later(attempt.instance,
+                      attempt_ended{attempt.request.exchange, attempt.request.attempt, outcome, status, false, {}});
+    }
+
+    base::boot_time now_{std::chrono::seconds(100)};
+    std::multimap<base::boot_time, std::function<void()>> calls_;
+    std::vector<std::unique_ptr<state>> states_;
+    std::map<model::backend_server_id, backend_server> servers_;
+    std::map<model::backend_server_id, std::vector<sent_attempt>> attempts_;
+    std::map<request_fingerprint, std::vector<base::boot_time>> sent_at_;
+    std::map<exchange_id, answer_caller> answers_;
+    std::set<request_fingerprint> rows_;
+    std::vector<base::boot_time> ended_at_;
+    std::size_t writes_ = 0;
+    exchange_id last_exchange_ = 0;
+    int last_server_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("a request under which servers end reaches few servers, and no other request is quarantined") {
+    const auto instances = GENERATE(1, 5, 40);
+    const auto* const path = GENERATE("/get/1", "/pay/1");
+    CAPTURE(instances, path);
+    play play(instances, 30);
+    play.send_deadly_requests(20s, path);
+    CHECK(play.ended_servers() >= 3);
+    CHECK(play.ended_servers() <= 5);
+    CHECK(play.sends_after_third_end(deadly, 3s) == 0);
+    CHECK(play.rows() == std::set<request_fingerprint>{deadly});
+    const auto last = play.request(0, deadly, path);
+    REQUIRE(play.answers().contains(last));
+    CHECK(play.answers().at(last).status == 503);
+    CHECK(play.answers().at(last).code == base::result_code::request_quarantined);
+    CHECK(play.answers().at(last).retry_after >= 1s);
+}
+
+TEST_CASE("an instance that starts after the quarantine refuses the request") {
+    play play(5, 30);
+    play.send_deadly_requests(5s, "/get/1");
+    const auto ended = play.ended_servers();
+    const auto late = play.start_instance();
+    play.request(late, deadly);
+    play.run_for(1s);
+    CHECK(play.ended_servers() == ended);
+}
+
+// Guards against a quarantine of what many callers ask for: it is under work wherever a server ends.
+TEST_CASE("a request that ends well elsewhere is let back in") {
+    constexpr request_fingerprint popular = 7;
+    play play(5, 30);
+    for (int turn = 0; turn < 200; ++turn) {
+        for (std::size_t instance = 0; instance < 5; ++instance) {
+            play.request(instance, popular);
+        }
+        if (turn % 10 == 0) {
+            play.end_server(play.any_server());
+        }
+        play.run_for(100ms);
+    }
+    play.run_for(500ms);
+    CHECK(play.rows().empty());
+    const auto sends = play.sends(popular);
+    play.request(0, popular);
+    CHECK(play.sends(popular) == sends + 1);
+}
+
+TEST_CASE("a quarantine ends after its time, and the next end of a server begins it again") {
+    play play(3, 30);
+    play.send_deadly_requests(2s, "/get/1");
+    REQUIRE(play.rows().contains(deadly));
+    const auto ended = play.ended_servers();
+    play.run_for(quarantine_time + 20s);
+    REQUIRE(play.rows().empty());
+    play.send_deadly_requests(5s, "/get/1");
+    CHECK(play.rows().contains(deadly));
+    CHECK(play.ended_servers() <= ended + 2);
+}
+
+// Guards against strikes for answers that got lost: the server lives, and is removed for another reason.
+TEST_CASE("a server that accepts a connection has not ended under the request") {
+    const model::backend_server_id server("s");
+    const base::boot_time now(1s);
+    state state(identity{model::instance_id("one"), model::data_centre_id("north"), 1}, 5);
+    auto effects = reduce(state, now, backend_server_updated{server_of(server.value(), book)});
+    state.quarantine.suspicions.push_back({deadly, "host/get/1", server, 7, now});
+    effects = reduce(state, now, server_probed{server, probe_outcome::connected});
+    effects = reduce(state, now, backend_server_removed{server});
+    CHECK(state.quarantine.struck.empty());
+    CHECK(!effects.empty());
+}
+
+} // namespace lovagetack::routing::testing
