--- a/tests/operators_platform/decode_test.cpp
+++ b/tests/operators_platform/decode_test.cpp
@@ -105,4 +105,58 @@
     REQUIRE_FALSE(decode_registration("i-1", R"({"address": "nowhere", "info": {}, "status": {"state": "ready"}})"));
 }
 
+// Guards against an odd entry of another writer whose numbers overflow the types that hold them: slots that become zero
+// or negative, and a cold time, a start or a count of writes that makes each later entry of the id look older.
+TEST_CASE("a registry entry with a number out of range is ignored") {
+    const auto with_slots = [](const QByteArray& slots) {
+        auto text = registration(R"({"state": "ready"})");
+        text.replace(R"("slots": 2)", R"("slots": )" + slots);
+        return decode_registration("i-1", text);
+    };
+    for (const char* const slots :
+         {"-1", "0", "0.5", "1000001", "2147483648", "4294967296", "4294967297", "1e300", "1e400"}) {
+        CAPTURE(slots);
+        CHECK_FALSE(with_slots(slots));
+    }
+    REQUIRE(with_slots("1000000")->slots == 1'000'000);
+    for (const char* const cold : {"-1", "86400001", "9223372036854775808", "1e300", "-1e300"}) {
+        CAPTURE(cold);
+        CHECK_FALSE(decode_registration(
+            "i-1", registration(QByteArray(R"({"state": "ready", "cold_remaining_ms": )") + cold + "}")));
+    }
+    for (const char* const number : {"-1", "9007199254740993", "18446744073709551616", "1e300"}) {
+        CAPTURE(number);
+        CHECK_FALSE(
+            decode_registration("i-1", registration(QByteArray(R"({"state": "ready", "seq": )") + number + "}")));
+        CHECK_FALSE(
+            decode_registration("i-1", registration(R"({"state": "ready"})", QByteArray(R"(, "born": )") + number)));
+    }
+    CHECK_FALSE(decode_registration("i-1", registration(R"({"state": "ready", "seq": "4"})")));
+    REQUIRE(decode_registration("i-1", registration(R"({"state": "ready", "seq": 9007199254740991})"))->sequence ==
+            9007199254740991);
+}
+
+TEST_CASE("a registry entry with a port out of range is ignored") {
+    for (const char* const port : {"-1", "0", "65536", "4294975376", "8080.5", "8080x", ""}) {
+        CAPTURE(port);
+        auto text = registration(R"({"state": "ready"})");
+        text.replace(":8080", QByteArray(":") + port);
+        CHECK_FALSE(decode_registration("i-1", text));
+    }
+}
+
+// Guards against a process that ends because reading an entry exhausts its stack.
+TEST_CASE("a registry entry that is nested deeply is ignored") {
+    constexpr int depth = 100'000;
+    const auto nested = QByteArray(depth, '[') + QByteArray(depth, ']');
+    REQUIRE_FALSE(decode_registration("i-1", nested));
+    REQUIRE_FALSE(decode_registration("i-1", QByteArray(depth, '[')));
+    REQUIRE_FALSE(decode_registration("i-1", registration(R"({"state": "ready"})", R"(,"other": )" + nested)));
+    QByteArray objects;
+    for (int i = 0; i < depth; ++i) {
+        objects.append(R"({"info":)");
+    }
+    REQUIRE_FALSE(decode_registration("i-1", objects));
+}
+
 } // namespace lovagetack::operators_platform
--- a/tests/operators_platform/store_test.cpp
+++ b/tests/operators_platform/store_test.cpp
@@ -106,6 +106,66 @@
     REQUIRE(removed[0].id.value() == "i-1");
 }
 
+// Guards against an odd entry of another writer that ends the process or keeps the entries beside and after it unknown.
+TEST_CASE("an odd entry of the registry hides no other entry, and following goes on") {
+    constexpr int depth = 100'000;
+    const auto with = [](const char* part, const char* replacement) {
+        auto value = server_value;
+        return value.replace(part, replacement);
+    };
+    const QJsonArray odd_rows{row("servers", "i-20", QByteArray(depth, '[') + QByteArray(depth, ']'), 4),
+                              row("servers", "i-21", with("\"slots\": 2", "\"slots\": 4294967296"), 4),
+                              row("servers", "i-22", with("\"slots\": 2", "\"slots\": 1e300"), 4),
+                              row("servers", "i-23", with(":8080", ":65536"), 4),
+                              row("servers", "i-24", with(":8080", ":-1"), 4),
+                              row("servers", "i-25", with("\"born\": 5", "\"born\": 1e300"), 4),
+                              row("servers", "i-26", with("\"ready\"", "\"ready\", \"seq\": 1e300"), 4),
+                              row("servers", "i-27", with("\"ready\"", "\"ready\", \"cold_remaining_ms\": 1e300"), 4),
+                              QJsonValue(7),
+                              QJsonObject{{"key", 7}, {"value", QJsonArray()}, {"ver", "x"}}};
+    const auto among_odd_rows = [&odd_rows](const char* first, const char* last, int version) {
+        QJsonArray all{row("servers", first, server_value, version)};
+        for (const auto& item : odd_rows) {
+            auto odd = item.toObject();
+            odd.insert("ver", version);
+            all.append(item.isObject() ? QJsonValue(odd) : QJsonValue(item));
+        }
+        all.append(row("servers", last, server_value, version));
+        return rows(all, version);
+    };
+    fixture test;
+    int feed_calls = 0;
+    test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
+        if (request.path.contains("rows-tx")) {
+            return fake_answer{200, R"({"ver": 1, "now_ms": 1})"};
+        }
+        if (!request.path.contains("table=servers")) {
+            return request.path.contains("rows-feed") ? std::nullopt : std::optional(rows({}, 5));
+        }
+        if (request.path.contains("rows-get")) {
+            return among_odd_rows("i-1", "i-3", 5);
+        }
+        ++feed_calls;
+        switch (feed_calls) {
+        case 1:
+            return among_odd_rows("i-4", "i-6", 7);
+        case 2:
+            // The real server writes its entry again.
+            return rows({row("servers", "i-26", server_value, 9)}, 9);
+        default:
+            return std::nullopt;
+        }
+    };
+    test.client->start({});
+    test.client->execute(routing::follow_store{true});
+    REQUIRE(platform::wait_until([&] { return feed_calls >= 3; }));
+    std::vector<std::string> updated;
+    for (const auto& event : test.all<routing::backend_server_updated>()) {
+        updated.push_back(event.server.id.value());
+    }
+    REQUIRE(updated == std::vector<std::string>{"i-1", "i-3", "i-4", "i-6", "i-26"});
+}
+
 // Guards against following a store from a version that it does not have any more, or that it has given out again.
 TEST_CASE("a table is read again when the store has come back from a copy") {
     const bool number_was_given_again = GENERATE(false, true);
