tests: an answer whose head is cut after any byte does not reach the caller

It does not happen here: fetch_more ends an answer whose header is incomplete as connection_lost. Only the cut of a body was tested.

The test cuts a head with a Content-Length and one without after each of its bytes and closes the connection. It passed without a change of the code.

--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -240,6 +240,26 @@
     REQUIRE(test.caller->received().empty());
 }
 
+// Guards against the end of a connection that counts as the end of a head, and so of a whole, empty or short answer.
+TEST_CASE("an answer whose head is cut after any of its bytes does not reach the caller") {
+    const bool has_length = GENERATE(true, false);
+    const auto head = signed_head + (has_length ? "Content-Length: 5\r\n" : "") + "Connection: close\r\n\r\n";
+    fixture test;
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        CAPTURE(has_length, length);
+        test.events.clear();
+        test.caller = std::make_unique<raw_socket>(test.port);
+        test.caller->send("GET /look/1 HTTP/1.1\r\nHost: h\r\nLovagetack-Request-Id: abc\r\n\r\n");
+        auto& server = test.server->connection(length);
+        server.wait_for("\r\n\r\n");
+        server.send(std::string_view(head).substr(0, length));
+        server.close();
+        REQUIRE(test.outcome() == attempt_outcome::connection_lost);
+        test::settle();
+        REQUIRE(test.caller->received().empty());
+    }
+}
+
 TEST_CASE("a long answer that is cut short resets the caller's connection") {
     fixture test;
     test.send_caller_request();
