routing: a repeat is withheld for lost runs of servers, not for lost requests

Callers that asked for the same got 502 without a repeat if two of their requests were lost with one server: each counted as a loss of its own. The test fails without the change.

--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -1,6 +1,7 @@
 #include "routing/quarantine.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -156,11 +157,19 @@
         return false;
     }
     const auto& quarantine = state.quarantine;
-    const auto suspicions = std::count_if(quarantine.suspicions.begin(), quarantine.suspicions.end(),
-                                          [request](const auto& item) { return item.request == request; });
+    std::set<std::pair<model::backend_server_id, std::uint64_t>> runs;
+    for (const auto& item : quarantine.suspicions) {
+        if (item.request == request) {
+            runs.emplace(item.server, item.server_born);
+        }
+    }
     const auto struck = quarantine.struck.find(request);
-    const auto strikes = struck == quarantine.struck.end() ? 0 : struck->second.runs.size();
-    return static_cast<std::size_t>(suspicions) + strikes > 1;
+    if (struck != quarantine.struck.end()) {
+        for (const auto& [run, time] : struck->second.runs) {
+            runs.insert(run);
+        }
+    }
+    return runs.size() > 1;
 }
 
 void note_good_end(step& step, request_fingerprint request) {
--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -309,6 +309,19 @@
     CHECK(play.ended_servers() <= ended + 2);
 }
 
+// Guards against callers that get 502 because many of them ask for the same when one server ends.
+TEST_CASE("equal requests that were lost with one server are sent again") {
+    play play(1, 2);
+    for (int copy = 0; copy < 4; ++copy) {
+        play.request(0, 7);
+    }
+    play.run_for(20ms);
+    REQUIRE(play.sends(7) == 4);
+    play.end_server(play.any_server());
+    play.run_for(500ms);
+    CHECK(play.answers().empty());
+}
+
 // Guards against strikes for answers that got lost: the server lives, and is removed for another reason.
 TEST_CASE("a server that accepts a connection has not ended under the request") {
     const model::backend_server_id server("s");
