routing: a collector ends a quarantine only on an answer that it knows to be later

A collector that had lost its strikes, by a restart or a lost message, ended a quarantine because the request had ended well some time before it became deadly, and others wrote it again, once a second for up to a minute. The test fails without the change.

--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -224,8 +224,9 @@
     auto& quarantine = step.state.quarantine;
     const auto good_end = step.now - objection.age;
     const auto found = quarantine.struck.find(objection.request);
+    std::size_t dropped = 0;
     if (found != quarantine.struck.end()) {
-        std::erase_if(found->second.runs, [good_end](const auto& run) { return run.second <= good_end; });
+        dropped = std::erase_if(found->second.runs, [good_end](const auto& run) { return run.second <= good_end; });
         if (found->second.runs.size() >= quarantine_strikes) {
             return;
         }
@@ -234,7 +235,8 @@
         }
     }
     const auto quarantined = quarantine.requests.find(objection.request);
-    if (quarantined != quarantine.requests.end()) {
+    // A collector that does not know the strikes cannot tell whether the request ended well before or after them.
+    if (quarantined != quarantine.requests.end() && (dropped > 0 || good_end >= quarantined->second.since)) {
         lift(step, objection.request, quarantined->second);
     }
 }
--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -322,6 +322,24 @@
     CHECK(play.answers().empty());
 }
 
+// Guards against a quarantine that ends because a collector has lost what it knew.
+TEST_CASE("a collector without strikes does not end a quarantine because the request ended well before") {
+    const auto known_strikes = GENERATE(0U, 1U, 2U);
+    const base::boot_time now(100s);
+    state state(identity{model::instance_id("one"), model::data_centre_id("north"), 1}, 5);
+    auto effects = reduce(state, now, quarantine_learned{deadly});
+    for (std::size_t number = 0; number < known_strikes; ++number) {
+        const model::backend_server_id server("server-" + std::to_string(number));
+        effects = reduce(state, now, request_strike{deadly, "host/get/1", server, 1});
+    }
+    effects = reduce(state, now + 1s, quarantine_objection{deadly, 20000ms});
+    CHECK(std::none_of(effects.begin(), effects.end(),
+                       [](const auto& effect) { return std::holds_alternative<lift_quarantine>(effect); }));
+    effects = reduce(state, now + 2s, quarantine_objection{deadly, 0ms});
+    CHECK(std::any_of(effects.begin(), effects.end(),
+                      [](const auto& effect) { return std::holds_alternative<lift_quarantine>(effect); }));
+}
+
 // Guards against strikes for answers that got lost: the server lives, and is removed for another reason.
 TEST_CASE("a server that accepts a connection has not ended under the request") {
     const model::backend_server_id server("s");
