routing: bound the list of good ends and the objections of former collectors

The list of the times of good ends had an entry for each answer, not for each request, and was bounded by the number of requests: 1.2 million entries at 20,000 answers a second. An instance that was no longer a collector of a request objected at each of its answers for up to 30 minutes.

--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -125,6 +125,7 @@
 /// How long an instance remembers that a request ended well, and how many such requests.
 inline constexpr std::chrono::microseconds good_end_memory = 60s;
 inline constexpr std::size_t most_good_ends = 32768;
+inline constexpr std::chrono::microseconds good_end_refresh = 1s;
 /// Time from the loss of a connection until the registry shows that the server has ended.
 inline constexpr std::chrono::microseconds suspicion_time = 5s;
 inline constexpr std::chrono::microseconds probe_pause = 1s;
--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -86,8 +86,7 @@
 
 void forget_old_good_ends(quarantine_state& quarantine, base::boot_time now) {
     auto& order = quarantine.good_end_order;
-    while (!order.empty() &&
-           (now - order.front().first > good_end_memory || quarantine.good_ends.size() > most_good_ends)) {
+    while (!order.empty() && (now - order.front().first > good_end_memory || order.size() > most_good_ends)) {
         const auto [at, request] = order.front();
         order.pop_front();
         const auto found = quarantine.good_ends.find(request);
@@ -177,11 +176,17 @@
         return;
     }
     auto& quarantine = step.state.quarantine;
-    quarantine.good_ends[request] = step.now;
-    quarantine.good_end_order.emplace_back(step.now, request);
-    forget_old_good_ends(quarantine, step.now);
+    auto& good_end = quarantine.good_ends[request];
+    // A request that ends well all the time takes few of the entries.
+    if (good_end == base::boot_time() || step.now - good_end >= good_end_refresh) {
+        good_end = step.now;
+        quarantine.good_end_order.emplace_back(step.now, request);
+        forget_old_good_ends(quarantine, step.now);
+    }
     if (quarantine.requests.contains(request) || quarantine.struck.contains(request)) {
         object(step, request, step.now);
+        // This instance may no longer be a collector of the request.
+        quarantine.struck.erase(request);
     }
 }
 
