routing: show the target of a struck request in ASCII and without its query

Found by the reviewer, by reading. protobuf rejects texts that are not UTF-8, so a strike for a path with other bytes, or with a sequence cut off at 200 bytes, did not reach any other instance. Queries went into logs and the store.

--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -48,6 +48,15 @@
     return static_cast<std::size_t>(found - collectors.begin());
 }
 
+/// Host and path in printable ASCII: protobuf rejects a message with other bytes, and the query may be private.
+std::string shown_target(const exchange& exchange) {
+    auto target = exchange.request.host + exchange.request.path.substr(0, exchange.request.path.find('?'));
+    target.resize(std::min(target.size(), longest_target));
+    std::replace_if(
+        target.begin(), target.end(), [](char byte) { return byte < ' ' || byte > '~'; }, '?');
+    return target;
+}
+
 void report_strike(step& step, const suspicion& suspicion) {
     const request_strike strike{suspicion.request, suspicion.target, suspicion.server, suspicion.server_born};
     step.state.quarantine.good_ends.erase(suspicion.request);
@@ -141,8 +150,7 @@
     if (quarantine.suspicions.size() >= most_suspicions) {
         quarantine.suspicions.pop_front();
     }
-    const auto target = exchange.request.host + exchange.request.path;
-    quarantine.suspicions.push_back({exchange.request.fingerprint, target.substr(0, longest_target), exchange.server,
+    quarantine.suspicions.push_back({exchange.request.fingerprint, shown_target(exchange), exchange.server,
                                      server->second.registration.born, step.now});
     auto& probed_at = quarantine.probed_at[exchange.server];
     if (probed_at == base::boot_time() || step.now - probed_at >= probe_pause) {
