--- a/source/http/call.cpp
+++ b/source/http/call.cpp
@@ -7,6 +7,8 @@
 call::call(connection_pool& pool, std::string text, std::chrono::milliseconds timeout, done_function done)
     : pool_(pool), text_(std::move(text)), done_(std::move(done)), latest_start_(base::boot_clock::now() + timeout) {
     timer_.setSingleShot(true);
+    // Qt's default timers fire up to 5% early, and an answer in that time would count as lost.
+    timer_.setTimerType(Qt::PreciseTimer);
     QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] {
         result_.status = 0;
         end();
