--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -414,7 +414,11 @@
         }
         return;
     case phase::lingering:
-        if (waited > limits_.linger_time) {
+        if (waited > (stream_.unsent() > 0 ? limits_.idle_time : limits_.linger_time)) {
+            if (stream_.unsent() == 0) {
+                // A reset would discard what the kernel has not sent yet.
+                stream_.close_at_once();
+            }
             end_connection("linger_time_over");
         }
         return;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -258,6 +258,13 @@
     CHECK(answer.received_after(std::chrono::milliseconds(1000)) > answer.size);
 }
 
+// Guards against a reset at the end of the linger time: it discards what the kernel has not sent yet.
+TEST_CASE("an answer that announced the close is sent whole to a caller that reads it after the linger time") {
+    slow_answer answer("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", std::size_t(3) * 1024 * 1024);
+    answer.end();
+    CHECK(answer.received_after(std::chrono::milliseconds(2500)) > answer.size);
+}
+
 // Guards against a reset at the close of an idle connection: it discards what the kernel has not sent yet.
 TEST_CASE("the close of an idle connection does not discard an answer in the kernel's buffer") {
     http::server_limits limits;
