gateway: an exchange that ends during the release of its connection is not accessed

Callers saw the whole instance end: the process crashed with SIGSEGV (code 139), and their connections with it.

Cause: attempt::end released its connection before it reported the end of the attempt. If another request waited for a connection to the same server, the pool gave it the connection at once, and the routing handled attempt_sent of that request first. After every event the routing ends overdue exchanges. If the exchange of the ending attempt was overdue and its caller not yet answered (a refusal or a failure of the server), relay::erase destroyed it, and relay::attempt_finished then used the reference to it. A log line that had taken the same memory was then destroyed as an attempt.

attempt_finished now looks the exchange up by its id and ignores one that has ended, as the routing already does.

Evidence: the new test failed before for both answers (the end of the attempt of a destroyed exchange was reported) and passes now, with the other tests of relay_test.cpp.

--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -192,8 +192,10 @@
         return;
     }
     ended_event_.outcome = outcome;
+    // The connection may go to another request at once. The events of its start can end the exchange, so it must not be
+    // accessed from here on.
     release();
-    owner_.attempt_finished(exchange_, ended_event_);
+    owner_.attempt_finished(ended_event_);
 }
 
 void attempt::release() {
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -56,7 +56,7 @@
         virtual void attempt_sent(const routing::attempt_sent& event) = 0;
         virtual void answer_forwarding_started(const routing::answer_forwarding_started& event) = 0;
         /// The attempt ended. It may be destroyed only after control has returned to the event loop.
-        virtual void attempt_finished(exchange& exchange, const routing::attempt_ended& event) = 0;
+        virtual void attempt_finished(const routing::attempt_ended& event) = 0;
     };
 
     /// The referenced objects must outlive the attempt.
--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -136,16 +136,19 @@
     on_event_(event);
 }
 
-void relay::attempt_finished(exchange& exchange, const routing::attempt_ended& event) {
-    const auto id = exchange.id;
-    if (exchange.current_attempt) {
-        ended_attempts_.push_back(std::move(exchange.current_attempt));
+void relay::attempt_finished(const routing::attempt_ended& event) {
+    auto* const item = find(event.exchange);
+    if (item == nullptr) {
+        return;
+    }
+    if (item->current_attempt) {
+        ended_attempts_.push_back(std::move(item->current_attempt));
         calls_.post([this] { ended_attempts_.clear(); });
     }
-    const bool answered = exchange.caller == nullptr;
+    const bool answered = item->caller == nullptr;
     on_event_(event);
     if (answered) {
-        erase(id);
+        erase(event.exchange);
     }
 }
 
--- a/source/gateway/relay.hpp
+++ b/source/gateway/relay.hpp
@@ -61,7 +61,7 @@
 
     void attempt_sent(const routing::attempt_sent& event) override;
     void answer_forwarding_started(const routing::answer_forwarding_started& event) override;
-    void attempt_finished(exchange& exchange, const routing::attempt_ended& event) override;
+    void attempt_finished(const routing::attempt_ended& event) override;
 
     http::connection_pool& pool_of(const model::address& address);
     [[nodiscard]] exchange* find(routing::exchange_id id);
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,6 +33,9 @@
         if (const auto* arrived = std::get_if<routing::request_arrived>(&event)) {
             send(arrived->exchange);
         }
+        if (reaction) {
+            reaction(event);
+        }
     }
 
     void send(routing::exchange_id exchange) {
@@ -70,6 +74,8 @@
     std::uint16_t port = 0;
     std::uint64_t attempts = 0;
     std::vector<routing::event> events;
+    /// Called with each event, after it has been noted.
+    std::function<void(const routing::event&)> reaction;
 };
 
 const std::string signed_head = "HTTP/1.1 200 OK\r\nLovagetack-Request-Id: abc\r\nLovagetack-Response-Signature: s\r\n";
@@ -147,6 +153,36 @@
     REQUIRE(test.outcome() == attempt_outcome::delivered);
 }
 
+// Guards against the use of an exchange that has been destroyed: the connection of an attempt that ends goes to the
+// next request at once, and the routing handles its start before the end of the attempt. It ends overdue exchanges
+// then.
+TEST_CASE("an exchange may end while the connection of its attempt goes to the next request") {
+    const auto* const answer =
+        GENERATE("HTTP/1.1 421 Misdirected Request\r\nLovagetack-Request-Id: abc\r\nLovagetack-Not-Executed: 1\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 "HTTP/1.1 500 Internal Server Error\r\nLovagetack-Request-Id: abc\r\n"
+                 "Lovagetack-Response-Signature: s\r\nContent-Length: 0\r\n\r\n");
+    CAPTURE(answer);
+    fixture test;
+    test.relay->set_connection_limit(1);
+    test.reaction = [&test](const routing::event& event) {
+        const auto* sent = std::get_if<routing::attempt_sent>(&event);
+        if (sent != nullptr && sent->exchange == 2) {
+            test.relay->execute(routing::cancel_attempt{1, model::attempt_id(1)});
+            test.relay->execute(routing::answer_caller{1, 504, base::result_code::request_deadline_passed, {}});
+        }
+    };
+    test.send_caller_request();
+    raw_socket next(test.port);
+    next.send("GET /look/2 HTTP/1.1\r\nHost: h\r\nLovagetack-Request-Id: def\r\n\r\n");
+    test::run_until([&test] { return test.relay->open_exchanges() == 2; });
+    test.server->connection(0).send(answer);
+    test.caller->wait_for("request_deadline_passed");
+    test::settle();
+    REQUIRE(test.ended() == nullptr);
+    REQUIRE(test.relay->open_exchanges() == 1);
+}
+
 TEST_CASE("an answer that is unsigned, encoded, malformed or incomplete is not forwarded") {
     fixture test;
     test.send_caller_request();
