http: a connection that did not open in time is counted once

Requests to a backend server, or calls to the platform's store, would get no new connection any more: the pool's number of opening connections wrapped around to its largest value.

Cause: connection_pool::check_times collects the late connections and ends them one after the other. A waiter that fails may call check_times of the same pool (platform/store.cpp and table_follower.cpp do so when they post the next call). The inner call ended the other late connections, and the outer one ended them again.

The loop now skips connections that are no longer opening.

Evidence: "a pool whose time check is repeated by a waiter that failed still opens connections" failed before (the third waiter was never served) and passes now.

--- a/source/http/connection_pool.cpp
+++ b/source/http/connection_pool.cpp
@@ -143,8 +143,11 @@
         }
     }
     for (const auto& connection : late) {
-        connection->abort();
-        ended(*connection);
+        // A waiter that failed may have called this function, which has ended the other late connections then.
+        if (connection->is_opening()) {
+            connection->abort();
+            ended(*connection);
+        }
     }
 }
 
