--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -1,5 +1,6 @@
 #include "gateway/attempt.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "http/error_body.hpp"
@@ -15,6 +16,12 @@
 /// HTTP status 421, Misdirected Request.
 constexpr int misdirected = 421;
 
+bool is_refusal(routing::attempt_outcome outcome) {
+    using routing::attempt_outcome;
+    return outcome == attempt_outcome::not_run || outcome == attempt_outcome::no_key ||
+           outcome == attempt_outcome::wrong_server;
+}
+
 } // namespace
 
 attempt::attempt(owner& relay, exchange& request, routing::send_request effect, http::connection_pool& pool,
@@ -38,7 +45,11 @@
 }
 
 void attempt::begin() {
-    pool_.acquire(*this, false, effect_.recent_connection ? recent_use : http::connection_pool::idle_time);
+    // A faulty server may repeat a refusal late. On the same connection the repeat, which has the same request id,
+    // would be taken for the answer to this attempt.
+    const bool was_refused_here = std::find(exchange_.refused_at.begin(), exchange_.refused_at.end(),
+                                            effect_.address) != exchange_.refused_at.end();
+    pool_.acquire(*this, was_refused_here, effect_.at_most_once ? recent_use : http::connection_pool::idle_time);
 }
 
 void attempt::connection_ready(const std::shared_ptr<http::client_connection>& connection) {
@@ -129,9 +140,17 @@
     }
 }
 
+bool attempt::may_refuse_earlier_request() const {
+    // A request that may run twice can be sent again in any case.
+    return effect_.at_most_once && ended_event_.reused_connection && header_.request.empty();
+}
+
 routing::attempt_outcome attempt::outcome_if_complete() const {
     using routing::attempt_outcome;
     const bool other_server = !header_.server.empty() && header_.server != effect_.server.value();
+    if ((answer_.status == misdirected || header_.not_run) && may_refuse_earlier_request()) {
+        return attempt_outcome::invalid_answer;
+    }
     if (answer_.status == misdirected) {
         return other_server ? attempt_outcome::wrong_server : attempt_outcome::no_key;
     }
@@ -192,6 +211,9 @@
         return;
     }
     ended_event_.outcome = outcome;
+    if (is_refusal(outcome)) {
+        exchange_.refused_at.push_back(effect_.address);
+    }
     // The connection may go to another request at once. The events of its start can end the exchange, so it must not be
     // accessed from here on.
     release();
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -4,11 +4,13 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gateway/ports.hpp"
 #include "http/client_connection.hpp"
 #include "http/connection_pool.hpp"
 #include "http/server_connection.hpp"
+#include "model/address.hpp"
 #include "routing/effect.hpp"
 #include "routing/event.hpp"
 
@@ -37,6 +39,8 @@
     std::unique_ptr<class attempt> current_attempt;
     /// The last complete answer with a status of 500 or above that a backend server signed.
     std::unique_ptr<stored_answer> failure;
+    /// Addresses whose server has answered that it did not run the request.
+    std::vector<model::address> refused_at;
 };
 
 /// Sends the request of an exchange to one backend server and forwards its answer to the caller.
@@ -92,6 +96,8 @@
 
     /// Outcome by status and header; holds if the answer arrives completely.
     [[nodiscard]] routing::attempt_outcome outcome_if_complete() const;
+    /// Whether an answer that the request was not run may be meant for an earlier request of the connection.
+    [[nodiscard]] bool may_refuse_earlier_request() const;
     void start_forwarding();
     void end(routing::attempt_outcome outcome);
     void release();
--- a/source/routing/effect.hpp
+++ b/source/routing/effect.hpp
@@ -22,9 +22,9 @@
     model::address address;
     /// Time left until the caller's deadline.
     std::chrono::milliseconds deadline{0};
-    /// Use only a recently used connection or a new one: the request cannot be sent again if an idle connection turns
-    /// out to be closed.
-    bool recent_connection = false;
+    /// The request must not run twice. It uses only a recently used connection or a new one, since it cannot be sent
+    /// again if an idle connection turns out to be closed.
+    bool at_most_once = false;
 };
 
 /// Drops an attempt and its connection; it is not reported as ended.
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -44,7 +44,7 @@
                                              model::backend_server_id("i-1"),
                                              {"127.0.0.1", server->port()},
                                              std::chrono::milliseconds(700),
-                                             false});
+                                             at_most_once});
     }
 
     attempt_outcome outcome() {
@@ -73,6 +73,8 @@
     std::unique_ptr<raw_socket> caller;
     std::uint16_t port = 0;
     std::uint64_t attempts = 0;
+    /// Whether the requests must not run twice.
+    bool at_most_once = false;
     std::vector<routing::event> events;
     /// Called with each event, after it has been noted.
     std::function<void(const routing::event&)> reaction;
@@ -183,6 +185,74 @@
     REQUIRE(test.relay->open_exchanges() == 1);
 }
 
+// Guards against a request that runs while it counts as refused: a faulty server writes a refusal twice, and the second
+// one has the id of the request that is sent to it again.
+TEST_CASE("a repeated refusal is not taken for the answer to the request that is sent to the server again") {
+    const auto* const refusal =
+        GENERATE("HTTP/1.1 503 Service Unavailable\r\nLovagetack-Request-Id: abc\r\nLovagetack-Not-Executed: 1\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 "HTTP/1.1 421 Misdirected Request\r\nLovagetack-Request-Id: abc\r\nLovagetack-Not-Executed: 1\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 "HTTP/1.1 421 Misdirected Request\r\nLovagetack-Request-Id: abc\r\nLovagetack-Instance-Id: i-2\r\n"
+                 "Content-Length: 0\r\n\r\n");
+    CAPTURE(refusal);
+    fixture test;
+    test.at_most_once = true;
+    test.send_caller_request();
+    auto& first = test.server->connection(0);
+    first.send(refusal);
+    const auto refused = test.outcome();
+    REQUIRE((refused == attempt_outcome::not_run || refused == attempt_outcome::no_key ||
+             refused == attempt_outcome::wrong_server));
+    test.events.clear();
+    first.forget_received();
+    test.send(1);
+    test::run_until([&] { return test.server->connections() == 2 || !first.received().empty(); });
+    first.send(refusal);
+    test::settle();
+    REQUIRE(test.ended() == nullptr);
+    auto& second = test.server->connection(1);
+    second.wait_for("\r\n\r\n");
+    second.send(signed_head + "Content-Length: 5\r\n\r\nright");
+    test.caller->wait_for("right");
+    REQUIRE(test.outcome() == attempt_outcome::delivered);
+}
+
+// Guards against a request that may run while it counts as refused: a refusal that names no request may be the repeat
+// of one to an earlier request of the connection.
+TEST_CASE("a refusal without a request id counts only if no earlier request or a repeatable one can be meant") {
+    const auto* const refusal =
+        GENERATE("HTTP/1.1 503 Service Unavailable\r\nLovagetack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 421 Misdirected Request\r\nLovagetack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                 "HTTP/1.1 421 Misdirected Request\r\nLovagetack-Instance-Id: i-2\r\nContent-Length: 0\r\n\r\n");
+    const bool at_most_once = GENERATE(true, false);
+    const bool reused = GENERATE(true, false);
+    CAPTURE(refusal, at_most_once, reused);
+    fixture test;
+    test.at_most_once = at_most_once;
+    test.send_caller_request();
+    auto& server = test.server->connection(0);
+    if (reused) {
+        server.send(signed_head + "Content-Length: 5\r\n\r\nfirst");
+        test.caller->wait_for("first");
+        test.events.clear();
+        server.forget_received();
+        test.caller = std::make_unique<raw_socket>(test.port);
+        test.send_caller_request("def");
+    }
+    server.send(refusal);
+    const auto outcome = test.outcome();
+    if (at_most_once && reused) {
+        REQUIRE(outcome == attempt_outcome::invalid_answer);
+    } else {
+        REQUIRE((outcome == attempt_outcome::not_run || outcome == attempt_outcome::no_key ||
+                 outcome == attempt_outcome::wrong_server));
+    }
+    REQUIRE(test.ended()->reused_connection == reused);
+    test::settle();
+    REQUIRE(test.caller->received().empty());
+}
+
 TEST_CASE("an answer that is unsigned, encoded, malformed or incomplete is not forwarded") {
     fixture test;
     test.send_caller_request();
