routing: the end of a server counts for the run that got the request

Seen by callers: a request that ends servers could be quarantined one end later than the rule allows, and one that met a single end could get two of the three strikes.

Cause: suspect_request() took the start of the server from the registry when the attempt ended. If the registry's update came before the lost connection, the suspicion named the new run: the old one's end was never counted, or was counted under the new start, beside the strike of another instance under the old start. A server that the registry had dropped before gave no strike either if the probe stayed unanswered.

The exchange now holds the start of the run that it was sent to. If the registry shows another one when the connection is lost, the strike is reported at once; if it shows a new run later, only suspicions of other runs are confirmed.

--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -105,6 +105,21 @@
     }
 }
 
+/// Asks for a probe of the server, unless there was one just now.
+void probe(step& step, const server_record& server) {
+    auto& probed_at = step.state.quarantine.probed_at[server.registration.id];
+    if (probed_at == base::boot_time() || step.now - probed_at >= probe_pause) {
+        probed_at = step.now;
+        step.add(probe_server{server.registration.id, server.registration.address});
+    }
+}
+
+/// Whether the registry has dropped the server, and so does not show its end again.
+bool is_removed(const state& state, const model::backend_server_id& server) {
+    const auto found = state.servers.find(server);
+    return found != state.servers.end() && !found->second.registered;
+}
+
 /// Removes the row of a quarantine, unless that was done just now.
 void lift(step& step, request_fingerprint request, quarantined_request& record) {
     if (record.lifted_at == base::boot_time() || step.now - record.lifted_at >= quarantine_retry) {
@@ -147,16 +162,18 @@
     if (exchange.request.fingerprint == 0 || server == step.state.servers.end()) {
         return;
     }
+    const suspicion suspicion{exchange.request.fingerprint, shown_target(exchange), exchange.server,
+                              exchange.server_born, step.now};
+    if (server->second.registration.born != exchange.server_born) {
+        // The registry has shown the end already and does not show it again.
+        report_strike(step, suspicion);
+        return;
+    }
     if (quarantine.suspicions.size() >= most_suspicions) {
         quarantine.suspicions.pop_front();
     }
-    quarantine.suspicions.push_back({exchange.request.fingerprint, shown_target(exchange), exchange.server,
-                                     server->second.registration.born, step.now});
-    auto& probed_at = quarantine.probed_at[exchange.server];
-    if (probed_at == base::boot_time() || step.now - probed_at >= probe_pause) {
-        probed_at = step.now;
-        step.add(probe_server{exchange.server, server->second.registration.address});
-    }
+    quarantine.suspicions.push_back(suspicion);
+    probe(step, server->second);
 }
 
 bool is_suspected_again(const state& state, request_fingerprint request) {
@@ -198,10 +215,10 @@
     }
 }
 
-void note_server_ended(step& step, const model::backend_server_id& server) {
+void note_server_ended(step& step, const model::backend_server_id& server, std::uint64_t living_run) {
     std::vector<suspicion> confirmed;
     std::erase_if(step.state.quarantine.suspicions, [&](const suspicion& item) {
-        const bool is_confirmed = item.server == server;
+        const bool is_confirmed = item.server == server && item.server_born != living_run;
         if (is_confirmed) {
             confirmed.push_back(item);
         }
@@ -213,8 +230,9 @@
 }
 
 void end_probe(step& step, const server_probed& event) {
-    if (event.outcome == probe_outcome::refused) {
-        note_server_ended(step, event.server);
+    const bool is_silent = event.outcome == probe_outcome::unanswered && is_removed(step.state, event.server);
+    if (event.outcome == probe_outcome::refused || is_silent) {
+        note_server_ended(step, event.server, 0);
     } else if (event.outcome == probe_outcome::connected) {
         std::erase_if(step.state.quarantine.suspicions,
                       [&event](const suspicion& item) { return item.server == event.server; });
--- a/source/routing/quarantine.hpp
+++ b/source/routing/quarantine.hpp
@@ -30,8 +30,9 @@
 /// Notes that a server has answered the request.
 void note_good_end(step& step, request_fingerprint request);
 
-/// The run of the server that is known so far has ended: each request that is suspected of it has a strike.
-void note_server_ended(step& step, const model::backend_server_id& server);
+/// The runs of the server have ended, except for one that began at `living_run`: each request that is suspected of them
+/// has a strike. 0 if the server does not run.
+void note_server_ended(step& step, const model::backend_server_id& server, std::uint64_t living_run);
 
 void end_probe(step& step, const server_probed& event);
 void collect_strike(step& step, const request_strike& strike);
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -108,7 +108,7 @@
     }
     step.state.missing_servers.erase(server.id);
     if (!is_new && record.registration.born != server.born) {
-        note_server_ended(step, server.id);
+        note_server_ended(step, server.id, server.born);
     }
     const bool needs_reset = is_new || !record.registered || record.registration.born != server.born;
     if (needs_reset) {
@@ -148,7 +148,7 @@
         return;
     }
     found->second.registered = false;
-    note_server_ended(step, id);
+    note_server_ended(step, id, 0);
     forget_groups(step.state);
     if (!found->second.leaving_since) {
         found->second.leaving_since = step.now;
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -140,6 +140,8 @@
     /// It is not sent before this time.
     base::boot_time not_before;
     model::backend_server_id server;
+    /// Start of the server's run that it was sent to.
+    std::uint64_t server_born = 0;
     model::attempt_id attempt;
     base::boot_time attempt_at;
     std::int32_t attempts = 0;
--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -248,6 +248,92 @@
     int last_server_ = 0;
 };
 
+/// One instance with one backend server, and the outcomes that a test gives.
+class lone_instance {
+public:
+    lone_instance() {
+        const instance_record record{model::data_centre_id("north"), 1, {}, 0, own_protocol};
+        process(instance_updated{state_.self.instance, record});
+        configuration configuration;
+        configuration.version = 1;
+        configuration.services[book] = {book, "/health", 100, 6.0, 3000ms, false};
+        configuration.routes = {route_to("/get/", request_kind::idempotent, book),
+                                route_to("/pay/", request_kind::non_idempotent, book)};
+        process(configuration_updated{configuration});
+        process(backend_server_updated{server_});
+        process(registry_complete{});
+        process(assignments_complete{});
+    }
+
+    effects process(const event& event) { return reduce(state_, now_, event); }
+
+    void run_for(std::chrono::milliseconds time) {
+        for (auto left = time; left > 0ms; left -= 10ms) {
+            now_ += 10ms;
+            process(ticked{});
+        }
+    }
+
+    /// A request that the server has begun to receive.
+    exchange_id send(request_fingerprint fingerprint, std::chrono::milliseconds deadline = 2000ms) {
+        request_arrived event;
+        event.exchange = ++last_exchange_;
+        event.request = "id-" + std::to_string(last_exchange_);
+        event.host = "host";
+        event.path = "/pay/1";
+        event.deadline = deadline;
+        event.arrived = now_;
+        event.fingerprint = fingerprint;
+        process(event);
+        process(attempt_sent{event.exchange, state_.exchanges.at(event.exchange).attempt});
+        return event.exchange;
+    }
+
+    effects end(exchange_id exchange, attempt_outcome outcome) {
+        const auto attempt = state_.exchanges.at(exchange).attempt;
+        return process(attempt_ended{exchange, attempt, outcome, 0, false, {}});
+    }
+
+    effects end_probe(probe_outcome outcome) { return process(server_probed{server_.id, outcome}); }
+
+    void restart_server() {
+        ++server_.born;
+        ++server_.sequence;
+        process(backend_server_updated{server_});
+    }
+
+    void announce_leaving() {
+        server_.draining = true;
+        ++server_.sequence;
+        process(backend_server_updated{server_});
+    }
+
+    void remove_server() { process(backend_server_removed{server_.id}); }
+
+    /// Starts of the server whose ends were counted for the request.
+    [[nodiscard]] std::set<std::uint64_t> struck_runs(request_fingerprint fingerprint) const {
+        std::set<std::uint64_t> runs;
+        const auto found = state_.quarantine.struck.find(fingerprint);
+        if (found != state_.quarantine.struck.end()) {
+            for (const auto& [run, at] : found->second.runs) {
+                runs.insert(run.second);
+            }
+        }
+        return runs;
+    }
+
+private:
+    base::boot_time now_{std::chrono::seconds(100)};
+    state state_{identity{model::instance_id("one"), model::data_centre_id("north"), 1}, 5};
+    backend_server server_ = server_of("server", book);
+    exchange_id last_exchange_ = 0;
+};
+
+bool has_probe(const effects& effects) {
+    return std::any_of(effects.begin(), effects.end(),
+                       [](const auto& effect) { return std::holds_alternative<probe_server>(effect); });
+}
+
 } // namespace
 
 TEST_CASE("a request under which servers end reaches few servers, and no other request is quarantined") {
@@ -353,4 +439,34 @@
     CHECK(!effects.empty());
 }
 
+// Guards against one end that is counted as the ends of two runs, or of none.
+TEST_CASE("the end of a server counts for the run that got the request, whatever shows it first") {
+    lone_instance instance;
+    const auto exchange = instance.send(deadly);
+    SECTION("the connection") {
+        CHECK(has_probe(instance.end(exchange, attempt_outcome::connection_lost)));
+        instance.restart_server();
+    }
+    SECTION("the registry") {
+        instance.restart_server();
+        instance.end(exchange, attempt_outcome::connection_lost);
+    }
+    SECTION("the registry, and then a probe that the new run accepts") {
+        instance.restart_server();
+        instance.end(exchange, attempt_outcome::connection_lost);
+        instance.end_probe(probe_outcome::connected);
+    }
+    SECTION("the registry, and then a probe that is refused since the new run has ended too") {
+        instance.restart_server();
+        instance.end(exchange, attempt_outcome::connection_lost);
+        instance.end_probe(probe_outcome::refused);
+    }
+    SECTION("the registry without a new run, and then a probe without an answer") {
+        instance.remove_server();
+        CHECK(has_probe(instance.end(exchange, attempt_outcome::connection_lost)));
+        instance.end_probe(probe_outcome::unanswered);
+    }
+    CHECK(instance.struck_runs(deadly) == std::set<std::uint64_t>{7});
+}
+
 } // namespace lovagetack::routing::testing
