routing: a request that was cancelled at work is struck when its server ends

Seen by callers: a deadly request whose callers left, or whose deadline passed, before it ended its server was never quarantined and ended server after server, with the keys and other requests at them.

Cause: the instance dropped the attempt and forgot the request, so that no sign of the server's end met a suspicion.

Evidence: 'a request under which servers end is quarantined although no caller waits for it' (49 to 58 sends after the third end, now 0) and 'a request that was cancelled at work has a strike when the end of its server becomes known' failed before and pass now.

The request stays suspect for suspicion_time after the cancellation, in a list of at most 256 entries. The registry, a probe for another request and a probe after a failed connection show the end; a caller that leaves causes no probe. Requests whose answer had begun, and servers that have announced that they leave, are left out: streams end by cancellation, and such servers end anyway.

--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -126,12 +126,14 @@
 inline constexpr std::chrono::microseconds good_end_memory = 60s;
 inline constexpr std::size_t most_good_ends = 32768;
 inline constexpr std::chrono::microseconds good_end_refresh = 1s;
-/// Time from the loss of a connection until the registry shows that the server has ended.
+/// Time from the loss of a connection, or from the cancellation of a request, until the registry shows that the server
+/// has ended.
 inline constexpr std::chrono::microseconds suspicion_time = 5s;
 inline constexpr std::chrono::microseconds probe_pause = 1s;
 /// Instances that count the strikes of one request in a large deployment.
 inline constexpr std::size_t strike_collectors = 3;
 inline constexpr std::size_t most_suspicions = 256;
+inline constexpr std::size_t most_cancelled_requests = 256;
 inline constexpr std::size_t most_struck_requests = 1024;
 /// Bounds the rows in the store.
 inline constexpr std::size_t most_quarantined_requests = 1024;
--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -114,6 +114,31 @@
     }
 }
 
+/// Whether the server leaves, so that its end is no sign against a request that was cancelled there.
+bool is_expected_to_end(const server_record& server) {
+    return server.leaving_since || server.evacuated_since;
+}
+
+/// Removes the items of runs of the server other than the living one, and returns them.
+std::vector<suspicion> take_ended(std::deque<suspicion>& items, const model::backend_server_id& server,
+                                  std::uint64_t living_run) {
+    std::vector<suspicion> taken;
+    std::erase_if(items, [&](const suspicion& item) {
+        const bool is_ended = item.server == server && item.server_born != living_run;
+        if (is_ended) {
+            taken.push_back(item);
+        }
+        return is_ended;
+    });
+    return taken;
+}
+
+void forget_old(std::deque<suspicion>& items, base::boot_time now) {
+    while (!items.empty() && now - items.front().since > suspicion_time) {
+        items.pop_front();
+    }
+}
+
 /// Whether the registry has dropped the server, and so does not show its end again.
 bool is_removed(const state& state, const model::backend_server_id& server) {
     const auto found = state.servers.find(server);
@@ -176,6 +201,42 @@
     probe(step, server->second);
 }
 
+void note_cancelled_request(step& step, const exchange& exchange) {
+    auto& cancelled = step.state.quarantine.cancelled;
+    const auto server = step.state.servers.find(exchange.server);
+    // A request that has begun its answer was run without harm so far, and most streams end by cancellation.
+    const bool may_be_at_work = exchange.phase == exchange_phase::sent && exchange.sending && !exchange.forwarding;
+    if (!may_be_at_work || exchange.request.fingerprint == 0 || server == step.state.servers.end() ||
+        is_expected_to_end(server->second)) {
+        return;
+    }
+    const suspicion suspicion{exchange.request.fingerprint, shown_target(exchange), exchange.server,
+                              exchange.server_born, step.now};
+    if (server->second.registration.born != exchange.server_born) {
+        report_strike(step, suspicion);
+        return;
+    }
+    // Callers that repeat one request at one server take one entry.
+    std::erase_if(cancelled, [&suspicion](const auto& item) {
+        return item.request == suspicion.request && item.server == suspicion.server &&
+               item.server_born == suspicion.server_born;
+    });
+    if (cancelled.size() >= most_cancelled_requests) {
+        cancelled.pop_front();
+    }
+    cancelled.push_back(suspicion);
+}
+
+void note_unreachable_server(step& step, const model::backend_server_id& server) {
+    const auto& cancelled = step.state.quarantine.cancelled;
+    const auto found = step.state.servers.find(server);
+    const bool is_concerned = std::any_of(cancelled.begin(), cancelled.end(),
+                                          [&server](const suspicion& item) { return item.server == server; });
+    if (is_concerned && found != step.state.servers.end()) {
+        probe(step, found->second);
+    }
+}
+
 bool is_suspected_again(const state& state, request_fingerprint request) {
     if (request == 0) {
         return false;
@@ -216,15 +277,16 @@
 }
 
 void note_server_ended(step& step, const model::backend_server_id& server, std::uint64_t living_run) {
-    std::vector<suspicion> confirmed;
-    std::erase_if(step.state.quarantine.suspicions, [&](const suspicion& item) {
-        const bool is_confirmed = item.server == server && item.server_born != living_run;
-        if (is_confirmed) {
-            confirmed.push_back(item);
-        }
-        return is_confirmed;
-    });
-    for (const auto& item : confirmed) {
+    auto& quarantine = step.state.quarantine;
+    for (const auto& item : take_ended(quarantine.suspicions, server, living_run)) {
+        report_strike(step, item);
+    }
+    const auto cancelled = take_ended(quarantine.cancelled, server, living_run);
+    const auto record = step.state.servers.find(server);
+    if (record == step.state.servers.end() || is_expected_to_end(record->second)) {
+        return;
+    }
+    for (const auto& item : cancelled) {
         report_strike(step, item);
     }
 }
@@ -312,9 +374,8 @@
 
 void run_quarantine(step& step) {
     auto& quarantine = step.state.quarantine;
-    while (!quarantine.suspicions.empty() && step.now - quarantine.suspicions.front().since > suspicion_time) {
-        quarantine.suspicions.pop_front();
-    }
+    forget_old(quarantine.suspicions, step.now);
+    forget_old(quarantine.cancelled, step.now);
     std::erase_if(quarantine.probed_at, [&step](const auto& entry) { return step.now - entry.second > probe_pause; });
     std::erase_if(quarantine.struck,
                   [&step](const auto& entry) { return step.now - entry.second.last_strike_at > strike_memory; });
--- a/source/routing/quarantine.hpp
+++ b/source/routing/quarantine.hpp
@@ -23,6 +23,13 @@
 /// probe of the server.
 void suspect_request(step& step, const exchange& exchange);
 
+/// Notes that this instance drops the attempt of the exchange, whose server may go on working on the request. Costs no
+/// probe: the request has a strike if other signs show within suspicion_time that the server has ended.
+void note_cancelled_request(step& step, const exchange& exchange);
+
+/// No connection to the server could be opened. Asks for a probe if requests were cancelled there.
+void note_unreachable_server(step& step, const model::backend_server_id& server);
+
 /// Whether servers were lost under the request more than once, as far as this instance knows. Such a request is not
 /// sent again at once.
 [[nodiscard]] bool is_suspected_again(const state& state, request_fingerprint request);
@@ -31,7 +38,7 @@
 void note_good_end(step& step, request_fingerprint request);
 
 /// The runs of the server have ended, except for one that began at `living_run`: each request that is suspected of them
-/// has a strike. 0 if the server does not run.
+/// has a strike. 0 if the server does not run. Called before the record of the server shows the end.
 void note_server_ended(step& step, const model::backend_server_id& server, std::uint64_t living_run);
 
 void end_probe(step& step, const server_probed& event);
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -385,6 +385,7 @@
             step.state.load_changed = true;
         }
         step.add(cancel_attempt{id, exchange.attempt});
+        note_cancelled_request(step, exchange);
     }
     erase_exchange(step, id);
 }
@@ -399,6 +400,7 @@
 void mark_answer_forwarding_started(step& step, const answer_forwarding_started& event) {
     const auto found = step.state.exchanges.find(event.exchange);
     if (found != step.state.exchanges.end() && found->second.attempt == event.attempt) {
+        found->second.forwarding = true;
         // A started answer is delivered even past the deadline; only the caller can cancel it now.
         step.state.deadlines.erase({found->second.expires_at, event.exchange});
     }
@@ -425,6 +427,9 @@
     if (event.outcome == attempt_outcome::connection_lost || event.outcome == attempt_outcome::cut_short) {
         suspect_request(step, exchange);
     }
+    if (event.outcome == attempt_outcome::not_connected) {
+        note_unreachable_server(step, exchange.server);
+    }
     if (event.outcome == attempt_outcome::delivered) {
         ++step.state.delivered;
         step.add(
@@ -492,6 +497,7 @@
                 server->second.spare_window = std::max(smallest_spare_window, server->second.spare_window - 0.5);
             }
             step.add(cancel_attempt{id, exchange.attempt});
+            note_cancelled_request(step, exchange);
         }
         answer(step, id, result_code::request_deadline_passed, spread_retry_after(step));
     }
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -146,6 +146,8 @@
     base::boot_time attempt_at;
     std::int32_t attempts = 0;
     bool sending = false;
+    /// A part of the server's answer has gone to the caller.
+    bool forwarding = false;
     /// An earlier attempt may have run.
     bool may_have_run = false;
     /// The shell holds a server's failure answer that can be sent to the caller.
@@ -436,6 +438,8 @@
 /// Requests that end backend servers, or may do so.
 struct quarantine_state {
     std::deque<suspicion> suspicions;
+    /// Requests that were cancelled at work, so that their connections cannot show the ends of their servers.
+    std::deque<suspicion> cancelled;
     std::map<model::backend_server_id, base::boot_time> probed_at;
     std::map<request_fingerprint, struck_request> struck;
     std::map<request_fingerprint, quarantined_request> requests;
--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -90,16 +90,28 @@
         after(4000ms, [this] { start_server(); });
     }
 
+    /// Servers begin to run deadly requests after this time, and end then.
+    void queue_deadly_requests(std::chrono::microseconds time) { deadly_delay_ = time; }
+    /// How long callers of deadly requests stay.
+    void let_callers_leave(std::chrono::microseconds time) { caller_patience_ = time; }
+    /// The deadline of callers of deadly requests.
+    void limit_deadly_requests(std::chrono::milliseconds deadline) { deadly_deadline_ = deadline; }
+
     exchange_id request(std::size_t instance, request_fingerprint fingerprint, const std::string& path = "/get/1") {
         request_arrived event;
         event.exchange = ++last_exchange_;
         event.request = "id-" + std::to_string(last_exchange_);
         event.host = "host";
         event.path = path;
-        event.deadline = 2000ms;
+        event.deadline = fingerprint == deadly ? deadly_deadline_ : 2000ms;
         event.arrived = now_;
         event.fingerprint = fingerprint;
         process(instance, event);
+        if (fingerprint == deadly && caller_patience_.count() > 0) {
+            after(caller_patience_, [this, instance, exchange = event.exchange] {
+                process(instance, caller_left{exchange, "closed_by_caller"});
+            });
+        }
         return last_exchange_;
     }
 
@@ -177,7 +189,7 @@
         process_later(instance, attempt_sent{effect.exchange, effect.attempt});
         attempts_[effect.server].push_back(attempt);
         if (fingerprint == deadly) {
-            after(message_delay, [this, server = effect.server] { end_server(server); });
+            after(deadly_delay_, [this, server = effect.server] { end_server(server); });
             return;
         }
         after(work_time, [this, attempt] {
@@ -190,6 +202,12 @@
         });
     }
 
+    void execute(std::size_t /*instance*/, const cancel_attempt& effect) {
+        for (auto& [server, running] : attempts_) {
+            std::erase_if(running, [&effect](const auto& item) { return item.request.exchange == effect.exchange; });
+        }
+    }
+
     void execute(std::size_t instance, const probe_server& effect) {
         const auto outcome = servers_.contains(effect.server) ? probe_outcome::connected : probe_outcome::refused;
         process_later(instance, server_probed{effect.server, outcome});
@@ -244,6 +262,9 @@
     std::set<request_fingerprint> rows_;
     std::vector<base::boot_time> ended_at_;
     std::size_t writes_ = 0;
+    std::chrono::microseconds deadly_delay_ = message_delay;
+    std::chrono::microseconds caller_patience_{0};
+    std::chrono::milliseconds deadly_deadline_{2000};
     exchange_id last_exchange_ = 0;
     int last_server_ = 0;
 };
@@ -267,7 +288,7 @@
 
     effects process(const event& event) { return reduce(state_, now_, event); }
 
-    void run_for(std::chrono::milliseconds time) {
+    void run_for(std::chrono::microseconds time) {
         for (auto left = time; left > 0ms; left -= 10ms) {
             now_ += 10ms;
             process(ticked{});
@@ -294,6 +315,12 @@
         return process(attempt_ended{exchange, attempt, outcome, 0, false, {}});
     }
 
+    effects leave(exchange_id exchange) { return process(caller_left{exchange, "closed_by_caller"}); }
+
+    void start_answer(exchange_id exchange) {
+        process(answer_forwarding_started{exchange, state_.exchanges.at(exchange).attempt});
+    }
+
     effects end_probe(probe_outcome outcome) { return process(server_probed{server_.id, outcome}); }
 
     void restart_server() {
@@ -353,6 +380,31 @@
     CHECK(play.answers().at(last).retry_after >= 1s);
 }
 
+// Guards against requests that end servers after their callers have left or their time has passed.
+TEST_CASE("a request under which servers end is quarantined although no caller waits for it") {
+    const bool others = GENERATE(false, true);
+    const bool have_left = GENERATE(true, false);
+    CAPTURE(others, have_left);
+    play play(5, 30);
+    play.queue_deadly_requests(300ms);
+    if (have_left) {
+        play.let_callers_leave(200ms);
+    } else {
+        play.limit_deadly_requests(200ms);
+    }
+    for (std::size_t turn = 0; turn < 50; ++turn) {
+        // Rare enough that no other copy is under work when a server ends.
+        play.request(turn % 5, deadly, "/pay/1");
+        if (others) {
+            play.request((turn + 1) % 5, 100000 + turn);
+        }
+        play.run_for(400ms);
+    }
+    CHECK(play.ended_servers() >= 3);
+    CHECK(play.sends_after_third_end(deadly, 3s) == 0);
+    CHECK(play.rows() == std::set<request_fingerprint>{deadly});
+}
+
 TEST_CASE("an instance that starts after the quarantine refuses the request") {
     play play(5, 30);
     play.send_deadly_requests(5s, "/get/1");
@@ -469,4 +521,58 @@
     CHECK(instance.struck_runs(deadly) == std::set<std::uint64_t>{7});
 }
 
+TEST_CASE("a request that was cancelled at work has a strike when the end of its server becomes known") {
+    lone_instance instance;
+    const bool has_left = GENERATE(true, false);
+    CAPTURE(has_left);
+    const auto exchange = instance.send(deadly, 100ms);
+    if (has_left) {
+        instance.leave(exchange);
+    }
+    instance.run_for(200ms);
+    CHECK(instance.struck_runs(deadly).empty());
+    SECTION("the registry shows a new run") {
+        instance.run_for(4s);
+        instance.restart_server();
+    }
+    SECTION("the registry drops the server") {
+        instance.run_for(4s);
+        instance.remove_server();
+    }
+    SECTION("a later request is refused a connection") {
+        CHECK(has_probe(instance.end(instance.send(5), attempt_outcome::not_connected)));
+        instance.end_probe(probe_outcome::refused);
+    }
+    SECTION("another request loses its connection") {
+        instance.end(instance.send(5), attempt_outcome::connection_lost);
+        instance.end_probe(probe_outcome::refused);
+    }
+    CHECK(instance.struck_runs(deadly) == std::set<std::uint64_t>{7});
+}
+
+// Guards against a cost of each caller that leaves, and against strikes of requests that did no harm.
+TEST_CASE("a cancelled request has no strike without the end of its server") {
+    lone_instance instance;
+    SECTION("the server lives") {
+        CHECK(!has_probe(instance.leave(instance.send(deadly))));
+        instance.run_for(suspicion_time + 20ms);
+        instance.restart_server();
+    }
+    SECTION("the answer had begun") {
+        const auto exchange = instance.send(deadly);
+        instance.start_answer(exchange);
+        instance.leave(exchange);
+        instance.restart_server();
+    }
+    SECTION("the server had announced that it leaves") {
+        instance.leave(instance.send(deadly));
+        instance.announce_leaving();
+        instance.remove_server();
+    }
+    SECTION("no other request was cancelled at the server that a connection is refused by") {
+        CHECK(!has_probe(instance.end(instance.send(5), attempt_outcome::not_connected)));
+    }
+    CHECK(instance.struck_runs(deadly).empty());
+}
+
 } // namespace lovagetack::routing::testing
