routing: streams that leaving servers cut short give no strike

Seen by callers: a stream that did nothing wrong was refused for 10 minutes once three servers had been shut down under streams of its kind.

Cause: an answer that is cut short was taken for the end of a server under the request, also when the server was known to leave.

Evidence: 'an answer that a leaving server cuts short gives no strike' failed before and passes now; 'other answers that are lost with a server give a strike' passes before and after.

The rule is against requests that crash the servers that begin to run them. A request whose answer has begun was run, and its server ends anyway. A request that a leaving server leaves without any answer still counts, as such a server runs what it has accepted and requests for its keys.

--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -118,7 +118,8 @@
     }
 }
 
-/// Whether the server leaves, so that its end is no sign against a request that was cancelled there.
+/// Whether the server leaves, so that its end is no sign against a request that was cancelled there or had begun its
+/// answer.
 bool is_expected_to_end(const server_record& server) {
     return server.leaving_since || server.evacuated_since;
 }
@@ -203,12 +204,15 @@
     return std::max(std::chrono::milliseconds(1000), in_whole_milliseconds(since + quarantine_time - step.now));
 }
 
-void suspect_request(step& step, const exchange& exchange) {
+void suspect_request(step& step, const exchange& exchange, attempt_outcome outcome) {
     auto& quarantine = step.state.quarantine;
     const auto server = step.state.servers.find(exchange.server);
     if (exchange.request.fingerprint == 0 || server == step.state.servers.end()) {
         return;
     }
+    if (outcome == attempt_outcome::cut_short && is_expected_to_end(server->second)) {
+        return;
+    }
     const suspicion suspicion{exchange.request.fingerprint, shown_target(exchange), exchange.server,
                               exchange.server_born, step.now};
     if (server->second.registration.born != exchange.server_born) {
--- a/source/routing/quarantine.hpp
+++ b/source/routing/quarantine.hpp
@@ -20,8 +20,8 @@
 [[nodiscard]] std::chrono::milliseconds quarantine_time_left(const step& step, request_fingerprint request);
 
 /// Notes that the connection to the exchange's server was lost while it may have worked on the request, and asks for a
-/// probe of the server.
-void suspect_request(step& step, const exchange& exchange);
+/// probe of the server. An answer that is cut short by a server that is leaving is no reason for suspicion.
+void suspect_request(step& step, const exchange& exchange, attempt_outcome outcome);
 
 /// Notes that this instance drops the attempt of the exchange, whose server may go on working on the request. Costs no
 /// probe: the request has a strike if other signs show within suspicion_time that the server has ended.
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -425,7 +425,7 @@
         note_good_end(step, exchange.request.fingerprint);
     }
     if (event.outcome == attempt_outcome::connection_lost || event.outcome == attempt_outcome::cut_short) {
-        suspect_request(step, exchange);
+        suspect_request(step, exchange, event.outcome);
     }
     if (event.outcome == attempt_outcome::not_connected) {
         note_unreachable_server(step, exchange.server);
--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -583,6 +583,42 @@
     CHECK(instance.struck_runs(deadly).empty());
 }
 
+// Guards against a quarantine of streams that three servers cut when they are shut down.
+TEST_CASE("an answer that a leaving server cuts short gives no strike") {
+    const bool has_left = GENERATE(false, true);
+    CAPTURE(has_left);
+    lone_instance instance;
+    const auto exchange = instance.send(deadly);
+    instance.start_answer(exchange);
+    if (has_left) {
+        // It has taken its entry out of the registry before it closes its connections.
+        instance.remove_server();
+    } else {
+        instance.announce_leaving();
+    }
+    CHECK(!has_probe(instance.end(exchange, attempt_outcome::cut_short)));
+    instance.end_probe(probe_outcome::refused);
+    instance.remove_server();
+    CHECK(instance.struck_runs(deadly).empty());
+}
+
+// Guards against requests that end servers uncounted: a leaving server still runs what it has accepted, and requests
+// for its keys.
+TEST_CASE("other answers that are lost with a server give a strike") {
+    lone_instance instance;
+    const auto exchange = instance.send(deadly);
+    SECTION("a leaving server ends without any answer") {
+        instance.announce_leaving();
+        CHECK(has_probe(instance.end(exchange, attempt_outcome::connection_lost)));
+    }
+    SECTION("a server that has not announced to leave cuts the answer short") {
+        instance.start_answer(exchange);
+        CHECK(has_probe(instance.end(exchange, attempt_outcome::cut_short)));
+    }
+    instance.end_probe(probe_outcome::refused);
+    CHECK(instance.struck_runs(deadly) == std::set<std::uint64_t>{7});
+}
+
 // Guards against work of all instances for each request on each tick: the store may take no writes for long.
 TEST_CASE("quarantines that are over cost little while their rows stay") {
     const base::boot_time begin(100s);
