tests: a quarantine refuses the requests that wait, and only these

No fault was found: it was to be checked whether the answer to one waiting request in begin_quarantine() can place another one, which would then be answered while it is at work. answer() removes its exchange from the queues and gives its slot back as an effect; neither places a request before the event has been processed.

The test passes before and after. It guards against a change that makes answer() place requests. The comment of end_left_exchange() now says what remains of the request.

--- a/source/routing/requests.hpp
+++ b/source/routing/requests.hpp
@@ -14,7 +14,8 @@
 void place_without_dispatcher(step& step, exchange_id id);
 /// Whether the server owns the key of the request and may serve it.
 [[nodiscard]] bool owns_key(const step& step, const exchange& exchange, const server_record& server);
-/// Cancels the request of a caller that has disconnected.
+/// Forgets the exchange of a caller that has disconnected. Its attempt is dropped, but the server may go on with it, so
+/// that the request stays suspect for some time.
 void end_left_exchange(step& step, const caller_left& event);
 /// Records that the first byte of an attempt was written, so that the request may have run.
 void mark_request_sent(step& step, const attempt_sent& event);
--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -297,8 +297,7 @@
         }
     }
 
-    /// A request that the server has begun to receive.
-    exchange_id send(request_fingerprint fingerprint, std::chrono::milliseconds deadline = 2000ms) {
+    exchange_id request(request_fingerprint fingerprint, std::chrono::milliseconds deadline = 2000ms) {
         request_arrived event;
         event.exchange = ++last_exchange_;
         event.request = "id-" + std::to_string(last_exchange_);
@@ -308,10 +307,16 @@
         event.arrived = now_;
         event.fingerprint = fingerprint;
         process(event);
-        process(attempt_sent{event.exchange, state_.exchanges.at(event.exchange).attempt});
         return event.exchange;
     }
 
+    /// A request that the server has begun to receive.
+    exchange_id send(request_fingerprint fingerprint, std::chrono::milliseconds deadline = 2000ms) {
+        const auto exchange = request(fingerprint, deadline);
+        process(attempt_sent{exchange, state_.exchanges.at(exchange).attempt});
+        return exchange;
+    }
+
     effects end(exchange_id exchange, attempt_outcome outcome) {
         const auto attempt = state_.exchanges.at(exchange).attempt;
         return process(attempt_ended{exchange, attempt, outcome, 0, false, {}});
@@ -619,6 +624,36 @@
     CHECK(instance.struck_runs(deadly) == std::set<std::uint64_t>{7});
 }
 
+// Guards against an answer to a request that is under work, whose caller would then get none from the server.
+TEST_CASE("a quarantine refuses the requests that wait, and only these") {
+    lone_instance instance;
+    std::set<exchange_id> working;
+    while (working.size() < 4) {
+        working.insert(instance.send(deadly));
+    }
+    const std::set<exchange_id> waiting{instance.request(deadly), instance.request(deadly)};
+    const auto other = instance.request(5);
+    std::set<exchange_id> refused;
+    for (const auto& effect : instance.process(quarantine_learned{deadly})) {
+        CHECK(!std::holds_alternative<send_request>(effect));
+        if (const auto* const answer = std::get_if<answer_caller>(&effect)) {
+            CHECK(answer->code == base::result_code::request_quarantined);
+            refused.insert(answer->exchange);
+        }
+    }
+    CHECK(refused == waiting);
+    std::set<exchange_id> sent;
+    for (const auto exchange : working) {
+        for (const auto& effect : instance.end(exchange, attempt_outcome::delivered)) {
+            CHECK(!std::holds_alternative<answer_caller>(effect));
+            if (const auto* const send = std::get_if<send_request>(&effect)) {
+                sent.insert(send->exchange);
+            }
+        }
+    }
+    CHECK(sent == std::set<exchange_id>{other});
+}
+
 // Guards against work of all instances for each request on each tick: the store may take no writes for long.
 TEST_CASE("quarantines that are over cost little while their rows stay") {
     const base::boot_time begin(100s);
