--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -5,7 +5,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
+#include <random>
 #include <set>
 #include <string>
 #include <tuple>
@@ -31,7 +33,18 @@
 /// Instances, a store and backend servers in simulated time. A server ends when it begins to run a deadly request.
 class play {
 public:
-    play(int instances, int servers) {
+    struct network {
+        bool uses_dispatchers = false;
+        /// Share of the messages between instances that get lost.
+        double lost_messages = 0;
+        /// The first collector that gets a strike is lost with it, and stays in the table of instances.
+        bool loses_collector = false;
+        std::uint64_t seed = 1;
+    };
+
+    play(int instances, int servers) : play(instances, servers, network{}) {}
+
+    play(int instances, int servers, const network& network) : network_(network), random_(network.seed) {
         for (int number = 0; number < servers; ++number) {
             start_server();
         }
@@ -42,9 +55,9 @@
 
     std::size_t start_instance() {
         const model::instance_id name("instance-" + std::to_string(states_.size()));
-        states_.push_back(std::make_unique<state>(identity{name, model::data_centre_id("north"), 1}, states_.size()));
+        states_.push_back(std::make_unique<state>(identity{name, model::data_centre_id("north"), 1}, random_()));
         const auto number = states_.size() - 1;
-        states_[number]->uses_dispatchers = false;
+        states_[number]->uses_dispatchers = network_.uses_dispatchers;
         configuration configuration;
         configuration.version = 1;
         configuration.services[book] = {book, "/health", 100, 6.0, 3000ms, false};
@@ -172,6 +185,9 @@
     }
 
     void process(std::size_t instance, const event& event) {
+        if (lost_instance_ == instance) {
+            return;
+        }
         for (const auto& effect : reduce(*states_[instance], now_, event)) {
             std::visit([this, instance](const auto& body) { execute(instance, body); }, effect);
         }
@@ -215,7 +231,22 @@
         process_later(instance, server_probed{effect.server, outcome});
     }
 
-    void execute(std::size_t /*instance*/, const send_strike& effect) { deliver(effect.receiver, effect.strike); }
+    void execute(std::size_t /*instance*/, const send_strike& effect) {
+        if (network_.loses_collector && !lost_instance_) {
+            lost_instance_ = number_of(effect.receiver);
+        }
+        deliver(effect.receiver, effect.strike);
+    }
+
+    void execute(std::size_t /*instance*/, const send_slot_request& effect) {
+        deliver(effect.receiver, effect.request);
+    }
+    void execute(std::size_t /*instance*/, const send_slot_answer& effect) { deliver(effect.receiver, effect.answer); }
+    void execute(std::size_t /*instance*/, const send_slot_release& effect) {
+        deliver(effect.receiver, effect.release);
+    }
+    void execute(std::size_t /*instance*/, const send_slot_report& effect) { deliver(effect.receiver, effect.report); }
+
     void execute(std::size_t /*instance*/, const send_objection& effect) { deliver(effect.receiver, effect.objection); }
 
     void execute(std::size_t /*instance*/, const write_quarantine& effect) {
@@ -241,11 +272,17 @@
         after(message_delay, [this, instance, event] { process(instance, event); });
     }
 
+    [[nodiscard]] std::size_t number_of(const model::instance_id& instance) const {
+        const auto found = std::find_if(states_.begin(), states_.end(),
+                                        [&instance](const auto& state) { return state->self.instance == instance; });
+        return static_cast<std::size_t>(found - states_.begin());
+    }
+
     void deliver(const model::instance_id& receiver, const event& event) {
-        for (std::size_t number = 0; number < states_.size(); ++number) {
-            if (states_[number]->self.instance == receiver) {
-                process_later(number, event);
-            }
+        const bool is_lost = static_cast<double>(random_() % 100000) / 100000.0 < network_.lost_messages;
+        const auto number = number_of(receiver);
+        if (!is_lost && number < states_.size()) {
+            process_later(number, event);
         }
     }
 
@@ -254,6 +291,9 @@
                       attempt_ended{attempt.request.exchange, attempt.request.attempt, outcome, status, false, {}});
     }
 
+    network network_;
+    std::mt19937_64 random_;
+    std::optional<std::size_t> lost_instance_;
     base::boot_time now_{std::chrono::seconds(100)};
     std::multimap<base::boot_time, std::function<void()>> calls_;
     std::vector<std::unique_ptr<state>> states_;
@@ -393,6 +433,30 @@
     CHECK(play.answers().at(last).retry_after >= 1s);
 }
 
+// Guards against a quarantine that hangs on one instance or on single messages. The rule allows three sends more.
+TEST_CASE("a deadly request of a large deployment is quarantined although a collector and messages are lost") {
+    const double lost = GENERATE(0.01, 0.2);
+    const auto period = GENERATE(100ms, 2000ms);
+    const std::uint64_t seed = GENERATE(range(1, 11));
+    CAPTURE(lost, period.count(), seed);
+    play::network network;
+    network.uses_dispatchers = true;
+    network.lost_messages = lost;
+    network.loses_collector = true;
+    network.seed = seed;
+    play play(24, 32, network);
+    const std::size_t turns = period == 100ms ? 200 : 25;
+    for (std::size_t turn = 0; turn < turns; ++turn) {
+        play.request(turn * 7 % 24, deadly, "/pay/1");
+        play.request(turn * 5 % 24, 100000 + turn);
+        play.request(turn * 11 % 24, 200000 + turn);
+        play.run_for(period);
+    }
+    CHECK(play.ended_servers() >= 3);
+    CHECK(play.sends_after_third_end(deadly, 3s) <= 3);
+    CHECK(play.rows() == std::set<request_fingerprint>{deadly});
+}
+
 // Guards against requests that end servers after their callers have left or their time has passed.
 TEST_CASE("a request under which servers end is quarantined although no caller waits for it") {
     const bool others = GENERATE(false, true);
