routing: a server is probed again when it ends soon after a probe

Seen by callers: if a server reset a connection and then ended under a deadly request within a second, the request was suspected only until the answer to the first probe, or until the registry showed the end.

Cause: the second loss caused no probe, because of the pause between probes, and the first probe's accepted connection cleared the suspicion.

Evidence: 'a connection that is lost soon after a probe is followed by another probe' failed before and passes now.

A suspicion for which no probe was asked stays until its own probe, which follows when the pause is over; still one probe a second for a server.

--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -109,12 +109,28 @@
     }
 }
 
-/// Asks for a probe of the server, unless there was one just now.
-void probe(step& step, const server_record& server) {
+/// Asks for a probe of the server; false if there was one just now.
+bool probe(step& step, const server_record& server) {
     auto& probed_at = step.state.quarantine.probed_at[server.registration.id];
-    if (probed_at == base::boot_time() || step.now - probed_at >= probe_pause) {
-        probed_at = step.now;
-        step.add(probe_server{server.registration.id, server.registration.address});
+    if (probed_at != base::boot_time() && step.now - probed_at < probe_pause) {
+        return false;
+    }
+    probed_at = step.now;
+    step.add(probe_server{server.registration.id, server.registration.address});
+    return true;
+}
+
+/// Asks for the probes that came too soon after another one.
+void send_late_probes(step& step) {
+    auto& suspicions = step.state.quarantine.suspicions;
+    for (auto& item : suspicions) {
+        const auto server = step.state.servers.find(item.server);
+        if (!item.needs_probe || server == step.state.servers.end() || !probe(step, server->second)) {
+            continue;
+        }
+        for (auto& other : suspicions) {
+            other.needs_probe = other.needs_probe && other.server != item.server;
+        }
     }
 }
 
@@ -224,7 +240,7 @@
         quarantine.suspicions.pop_front();
     }
     quarantine.suspicions.push_back(suspicion);
-    probe(step, server->second);
+    quarantine.suspicions.back().needs_probe = !probe(step, server->second);
 }
 
 void note_cancelled_request(step& step, const exchange& exchange) {
@@ -322,8 +338,9 @@
     if (event.outcome == probe_outcome::refused || is_silent) {
         note_server_ended(step, event.server, 0);
     } else if (event.outcome == probe_outcome::connected) {
+        // The server may have ended after the probe.
         std::erase_if(step.state.quarantine.suspicions,
-                      [&event](const suspicion& item) { return item.server == event.server; });
+                      [&event](const suspicion& item) { return item.server == event.server && !item.needs_probe; });
     }
 }
 
@@ -407,6 +424,7 @@
     quarantine.next_check = step.now + quarantine_check_period;
     forget_old(quarantine.suspicions, step.now);
     forget_old(quarantine.cancelled, step.now);
+    send_late_probes(step);
     std::erase_if(quarantine.probed_at, [&step](const auto& entry) { return step.now - entry.second > probe_pause; });
     std::erase_if(quarantine.struck,
                   [&step](const auto& entry) { return step.now - entry.second.last_strike_at > strike_memory; });
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -417,6 +417,8 @@
     model::backend_server_id server;
     std::uint64_t server_born = 0;
     base::boot_time since;
+    /// The last probe of the server was asked for before.
+    bool needs_probe = false;
 };
 
 /// A collector's record of a request under which servers have ended.
--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -328,7 +328,14 @@
         process(assignments_complete{});
     }
 
-    effects process(const event& event) { return reduce(state_, now_, event); }
+    effects process(const event& event) {
+        auto done = reduce(state_, now_, event);
+        probes_ += static_cast<std::size_t>(std::count_if(
+            done.begin(), done.end(), [](const auto& effect) { return std::holds_alternative<probe_server>(effect); }));
+        return done;
+    }
+
+    [[nodiscard]] std::size_t probes() const { return probes_; }
 
     void run_for(std::chrono::microseconds time) {
         for (auto left = time; left > 0ms; left -= 10ms) {
@@ -401,6 +408,7 @@
     state state_{identity{model::instance_id("one"), model::data_centre_id("north"), 1}, 5};
     backend_server server_ = server_of("server", book);
     exchange_id last_exchange_ = 0;
+    std::size_t probes_ = 0;
 };
 
 std::chrono::nanoseconds processor_time() {
@@ -718,6 +726,22 @@
     CHECK(sent == std::set<exchange_id>{other});
 }
 
+// Guards against a server that ends shortly after a probe that it has accepted.
+TEST_CASE("a connection that is lost soon after a probe is followed by another probe") {
+    lone_instance instance;
+    CHECK(has_probe(instance.end(instance.send(5), attempt_outcome::connection_lost)));
+    instance.run_for(200ms);
+    const auto effects = instance.end(instance.send(deadly), attempt_outcome::connection_lost);
+    CHECK(!has_probe(effects));
+    instance.end_probe(probe_outcome::connected);
+    const auto probes = instance.probes();
+    instance.run_for(2s);
+    CHECK(instance.probes() == probes + 1);
+    instance.end_probe(probe_outcome::refused);
+    CHECK(instance.struck_runs(deadly) == std::set<std::uint64_t>{7});
+    CHECK(instance.struck_runs(5).empty());
+}
+
 // Guards against work of all instances for each request on each tick: the store may take no writes for long.
 TEST_CASE("quarantines that are over cost little while their rows stay") {
     const base::boot_time begin(100s);
