--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -118,6 +118,8 @@
 inline constexpr std::chrono::microseconds quarantine_time = 10min;
 /// Delay with which the next collector in rank ends a quarantine, in case those before it are lost.
 inline constexpr std::chrono::microseconds quarantine_rank_delay = 5s;
+/// Period of the search for what is due; it reads each entry.
+inline constexpr std::chrono::microseconds quarantine_check_period = 100ms;
 /// A row that has not appeared is written again after this time.
 inline constexpr std::chrono::microseconds quarantine_retry = 1s;
 /// Longer than the quarantine, so that one more strike after it begins the next.
@@ -126,12 +128,14 @@
 inline constexpr std::chrono::microseconds good_end_memory = 60s;
 inline constexpr std::size_t most_good_ends = 32768;
 inline constexpr std::chrono::microseconds good_end_refresh = 1s;
-/// Time from the loss of a connection until the registry shows that the server has ended.
+/// Time from the loss of a connection, or from the cancellation of a request, until the registry shows that the server
+/// has ended.
 inline constexpr std::chrono::microseconds suspicion_time = 5s;
 inline constexpr std::chrono::microseconds probe_pause = 1s;
 /// Instances that count the strikes of one request in a large deployment.
 inline constexpr std::size_t strike_collectors = 3;
 inline constexpr std::size_t most_suspicions = 256;
+inline constexpr std::size_t most_cancelled_requests = 256;
 inline constexpr std::size_t most_struck_requests = 1024;
 /// Bounds the rows in the store.
 inline constexpr std::size_t most_quarantined_requests = 1024;
--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -20,20 +20,24 @@
 /// The instances that count the strikes of a request: all of a small deployment, else the first by rendezvous hashing.
 /// Several, since each of them can be down and each message can be lost.
 std::vector<model::instance_id> collectors_of(const state& state, request_fingerprint request) {
-    std::vector<std::pair<std::uint64_t, model::instance_id>> ranked;
+    std::vector<std::pair<std::uint64_t, const model::instance_id*>> ranked;
+    ranked.reserve(state.instances.size());
     const auto item = std::to_string(request);
     for (const auto& [id, record] : state.instances) {
         if (record.protocol >= quarantine_protocol || id == state.self.instance) {
-            ranked.emplace_back(base::rendezvous_score(item, id.value()), id);
+            ranked.emplace_back(base::rendezvous_score(item, id.value()), &id);
         }
     }
     const auto count =
         state.instances.size() > small_deployment ? std::min(strike_collectors, ranked.size()) : ranked.size();
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
-                      [](const auto& left, const auto& right) { return left > right; });
+                      [](const auto& left, const auto& right) {
+                          return left.first != right.first ? left.first > right.first : *left.second > *right.second;
+                      });
     std::vector<model::instance_id> collectors;
+    collectors.reserve(count);
     for (std::size_t rank = 0; rank < count; ++rank) {
-        collectors.push_back(ranked[rank].second);
+        collectors.push_back(*ranked[rank].second);
     }
     return collectors;
 }
@@ -105,6 +109,63 @@
     }
 }
 
+/// Asks for a probe of the server; false if there was one just now.
+bool probe(step& step, const server_record& server) {
+    auto& probed_at = step.state.quarantine.probed_at[server.registration.id];
+    if (probed_at != base::boot_time() && step.now - probed_at < probe_pause) {
+        return false;
+    }
+    probed_at = step.now;
+    step.add(probe_server{server.registration.id, server.registration.address});
+    return true;
+}
+
+/// Asks for the probes that came too soon after another one.
+void send_late_probes(step& step) {
+    auto& suspicions = step.state.quarantine.suspicions;
+    for (auto& item : suspicions) {
+        const auto server = step.state.servers.find(item.server);
+        if (!item.needs_probe || server == step.state.servers.end() || !probe(step, server->second)) {
+            continue;
+        }
+        for (auto& other : suspicions) {
+            other.needs_probe = other.needs_probe && other.server != item.server;
+        }
+    }
+}
+
+/// Whether the server leaves, so that its end is no sign against a request that was cancelled there or had begun its
+/// answer.
+bool is_expected_to_end(const server_record& server) {
+    return server.leaving_since || server.evacuated_since;
+}
+
+/// Removes the items of runs of the server other than the living one, and returns them.
+std::vector<suspicion> take_ended(std::deque<suspicion>& items, const model::backend_server_id& server,
+                                  std::uint64_t living_run) {
+    std::vector<suspicion> taken;
+    std::erase_if(items, [&](const suspicion& item) {
+        const bool is_ended = item.server == server && item.server_born != living_run;
+        if (is_ended) {
+            taken.push_back(item);
+        }
+        return is_ended;
+    });
+    return taken;
+}
+
+void forget_old(std::deque<suspicion>& items, base::boot_time now) {
+    while (!items.empty() && now - items.front().since > suspicion_time) {
+        items.pop_front();
+    }
+}
+
+/// Whether the registry has dropped the server, and so does not show its end again.
+bool is_removed(const state& state, const model::backend_server_id& server) {
+    const auto found = state.servers.find(server);
+    return found != state.servers.end() && !found->second.registered;
+}
+
 /// Removes the row of a quarantine, unless that was done just now.
 void lift(step& step, request_fingerprint request, quarantined_request& record) {
     if (record.lifted_at == base::boot_time() || step.now - record.lifted_at >= quarantine_retry) {
@@ -113,22 +174,40 @@
     }
 }
 
-/// Ends quarantines that have lasted long enough.
+/// Ends quarantines that have lasted long enough. To rank the instances costs much more than to look at a time, so each
+/// record holds when that is due.
 void end_old_quarantines(step& step) {
-    auto& quarantine = step.state.quarantine;
-    for (auto& [request, record] : quarantine.requests) {
-        if (step.now - record.since < quarantine_time) {
+    for (auto& [request, record] : step.state.quarantine.requests) {
+        if (step.now < record.next_check) {
             continue;
         }
         const auto rank = own_rank(step.state, request);
-        if (!rank ||
-            step.now - record.since < quarantine_time + quarantine_rank_delay * static_cast<std::int64_t>(*rank)) {
+        if (!rank) {
+            // Instances may come and go until then.
+            record.next_check = step.now + quarantine_rank_delay;
+            continue;
+        }
+        const auto own_time = record.since + quarantine_time + quarantine_rank_delay * static_cast<std::int64_t>(*rank);
+        if (step.now < own_time) {
+            record.next_check = own_time;
             continue;
         }
+        record.next_check = step.now + quarantine_retry;
         lift(step, request, record);
     }
 }
 
+/// Writes the row of a request with enough strikes, unless that was done just now.
+void write_if_due(step& step, request_fingerprint request, struck_request& record) {
+    const auto& quarantine = step.state.quarantine;
+    const bool is_due = record.runs.size() >= quarantine_strikes && !quarantine.requests.contains(request) &&
+                        quarantine.requests.size() < most_quarantined_requests;
+    if (is_due && (record.written_at == base::boot_time() || step.now - record.written_at >= quarantine_retry)) {
+        record.written_at = step.now;
+        step.add(write_quarantine{request, record.target});
+    }
+}
+
 } // namespace
 
 bool is_quarantined(const state& state, request_fingerprint request) {
@@ -141,21 +220,62 @@
     return std::max(std::chrono::milliseconds(1000), in_whole_milliseconds(since + quarantine_time - step.now));
 }
 
-void suspect_request(step& step, const exchange& exchange) {
+void suspect_request(step& step, const exchange& exchange, attempt_outcome outcome) {
     auto& quarantine = step.state.quarantine;
     const auto server = step.state.servers.find(exchange.server);
     if (exchange.request.fingerprint == 0 || server == step.state.servers.end()) {
         return;
     }
+    if (outcome == attempt_outcome::cut_short && is_expected_to_end(server->second)) {
+        return;
+    }
+    const suspicion suspicion{exchange.request.fingerprint, shown_target(exchange), exchange.server,
+                              exchange.server_born, step.now};
+    if (server->second.registration.born != exchange.server_born) {
+        // The registry has shown the end already and does not show it again.
+        report_strike(step, suspicion);
+        return;
+    }
     if (quarantine.suspicions.size() >= most_suspicions) {
         quarantine.suspicions.pop_front();
     }
-    quarantine.suspicions.push_back({exchange.request.fingerprint, shown_target(exchange), exchange.server,
-                                     server->second.registration.born, step.now});
-    auto& probed_at = quarantine.probed_at[exchange.server];
-    if (probed_at == base::boot_time() || step.now - probed_at >= probe_pause) {
-        probed_at = step.now;
-        step.add(probe_server{exchange.server, server->second.registration.address});
+    quarantine.suspicions.push_back(suspicion);
+    quarantine.suspicions.back().needs_probe = !probe(step, server->second);
+}
+
+void note_cancelled_request(step& step, const exchange& exchange) {
+    auto& cancelled = step.state.quarantine.cancelled;
+    const auto server = step.state.servers.find(exchange.server);
+    // A request that has begun its answer was run without harm so far, and most streams end by cancellation.
+    const bool may_be_at_work = exchange.phase == exchange_phase::sent && exchange.sending && !exchange.forwarding;
+    if (!may_be_at_work || exchange.request.fingerprint == 0 || server == step.state.servers.end() ||
+        is_expected_to_end(server->second)) {
+        return;
+    }
+    const suspicion suspicion{exchange.request.fingerprint, shown_target(exchange), exchange.server,
+                              exchange.server_born, step.now};
+    if (server->second.registration.born != exchange.server_born) {
+        report_strike(step, suspicion);
+        return;
+    }
+    // Callers that repeat one request at one server take one entry.
+    std::erase_if(cancelled, [&suspicion](const auto& item) {
+        return item.request == suspicion.request && item.server == suspicion.server &&
+               item.server_born == suspicion.server_born;
+    });
+    if (cancelled.size() >= most_cancelled_requests) {
+        cancelled.pop_front();
+    }
+    cancelled.push_back(suspicion);
+}
+
+void note_unreachable_server(step& step, const model::backend_server_id& server) {
+    const auto& cancelled = step.state.quarantine.cancelled;
+    const auto found = step.state.servers.find(server);
+    const bool is_concerned = std::any_of(cancelled.begin(), cancelled.end(),
+                                          [&server](const suspicion& item) { return item.server == server; });
+    if (is_concerned && found != step.state.servers.end()) {
+        probe(step, found->second);
     }
 }
 
@@ -198,26 +318,29 @@
     }
 }
 
-void note_server_ended(step& step, const model::backend_server_id& server) {
-    std::vector<suspicion> confirmed;
-    std::erase_if(step.state.quarantine.suspicions, [&](const suspicion& item) {
-        const bool is_confirmed = item.server == server;
-        if (is_confirmed) {
-            confirmed.push_back(item);
-        }
-        return is_confirmed;
-    });
-    for (const auto& item : confirmed) {
+void note_server_ended(step& step, const model::backend_server_id& server, std::uint64_t living_run) {
+    auto& quarantine = step.state.quarantine;
+    for (const auto& item : take_ended(quarantine.suspicions, server, living_run)) {
+        report_strike(step, item);
+    }
+    const auto cancelled = take_ended(quarantine.cancelled, server, living_run);
+    const auto record = step.state.servers.find(server);
+    if (record == step.state.servers.end() || is_expected_to_end(record->second)) {
+        return;
+    }
+    for (const auto& item : cancelled) {
         report_strike(step, item);
     }
 }
 
 void end_probe(step& step, const server_probed& event) {
-    if (event.outcome == probe_outcome::refused) {
-        note_server_ended(step, event.server);
+    const bool is_silent = event.outcome == probe_outcome::unanswered && is_removed(step.state, event.server);
+    if (event.outcome == probe_outcome::refused || is_silent) {
+        note_server_ended(step, event.server, 0);
     } else if (event.outcome == probe_outcome::connected) {
+        // The server may have ended after the probe.
         std::erase_if(step.state.quarantine.suspicions,
-                      [&event](const suspicion& item) { return item.server == event.server; });
+                      [&event](const suspicion& item) { return item.server == event.server && !item.needs_probe; });
     }
 }
 
@@ -230,7 +353,7 @@
     record.target = strike.target;
     record.last_strike_at = step.now;
     record.runs.try_emplace({strike.server, strike.server_born}, step.now);
-    run_quarantine(step);
+    write_if_due(step, strike.request, record);
 }
 
 void collect_objection(step& step, const quarantine_objection& objection) {
@@ -256,7 +379,8 @@
 
 void begin_quarantine(step& step, request_fingerprint request) {
     auto& quarantine = step.state.quarantine;
-    if (!quarantine.requests.try_emplace(request, quarantined_request{step.now, {}}).second) {
+    if (!quarantine.requests.try_emplace(request, quarantined_request{step.now, {}, step.now + quarantine_time})
+             .second) {
         return;
     }
     step.add(log_line{true, "request_quarantined", {number_field("fingerprint", request)}});
@@ -294,19 +418,18 @@
 
 void run_quarantine(step& step) {
     auto& quarantine = step.state.quarantine;
-    while (!quarantine.suspicions.empty() && step.now - quarantine.suspicions.front().since > suspicion_time) {
-        quarantine.suspicions.pop_front();
+    if (step.now < quarantine.next_check) {
+        return;
     }
+    quarantine.next_check = step.now + quarantine_check_period;
+    forget_old(quarantine.suspicions, step.now);
+    forget_old(quarantine.cancelled, step.now);
+    send_late_probes(step);
     std::erase_if(quarantine.probed_at, [&step](const auto& entry) { return step.now - entry.second > probe_pause; });
     std::erase_if(quarantine.struck,
                   [&step](const auto& entry) { return step.now - entry.second.last_strike_at > strike_memory; });
     for (auto& [request, record] : quarantine.struck) {
-        const bool is_due = record.runs.size() >= quarantine_strikes && !quarantine.requests.contains(request) &&
-                            quarantine.requests.size() < most_quarantined_requests;
-        if (is_due && (record.written_at == base::boot_time() || step.now - record.written_at >= quarantine_retry)) {
-            record.written_at = step.now;
-            step.add(write_quarantine{request, record.target});
-        }
+        write_if_due(step, request, record);
     }
     end_old_quarantines(step);
 }
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -140,10 +140,14 @@
     /// It is not sent before this time.
     base::boot_time not_before;
     model::backend_server_id server;
+    /// Start of the server's run that it was sent to.
+    std::uint64_t server_born = 0;
     model::attempt_id attempt;
     base::boot_time attempt_at;
     std::int32_t attempts = 0;
     bool sending = false;
+    /// A part of the server's answer has gone to the caller.
+    bool forwarding = false;
     /// An earlier attempt may have run.
     bool may_have_run = false;
     /// The shell holds a server's failure answer that can be sent to the caller.
@@ -413,6 +417,8 @@
     model::backend_server_id server;
     std::uint64_t server_born = 0;
     base::boot_time since;
+    /// The last probe of the server was asked for before.
+    bool needs_probe = false;
 };
 
 /// A collector's record of a request under which servers have ended.
@@ -429,14 +435,19 @@
     base::boot_time since;
     /// When this instance last removed the row.
     base::boot_time lifted_at;
+    /// When it has to be found out next whether this instance ends the quarantine.
+    base::boot_time next_check;
 };
 
 /// Requests that end backend servers, or may do so.
 struct quarantine_state {
     std::deque<suspicion> suspicions;
+    /// Requests that were cancelled at work, so that their connections cannot show the ends of their servers.
+    std::deque<suspicion> cancelled;
     std::map<model::backend_server_id, base::boot_time> probed_at;
     std::map<request_fingerprint, struck_request> struck;
     std::map<request_fingerprint, quarantined_request> requests;
+    base::boot_time next_check;
     /// When requests last ended well here, and the same in the order of these times.
     std::unordered_map<request_fingerprint, base::boot_time> good_ends;
     std::deque<std::pair<base::boot_time, request_fingerprint>> good_end_order;
