routing: a server that states no start gives strikes too

Since the end of a server counts for the runs other than the living one, with 0 for none. A registration without a start has 0 as well, so that requests never got a strike for the end of such a server. Whether a run lives is now optional.

Evidence: "the end of a server that states no start gives a strike" failed before in both sections and passes now.

--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -1,6 +1,7 @@
 #include "routing/quarantine.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -142,7 +143,7 @@
 
 /// Removes the items of runs of the server other than the living one, and returns them.
 std::vector<suspicion> take_ended(std::deque<suspicion>& items, const model::backend_server_id& server,
-                                  std::uint64_t living_run) {
+                                  std::optional<std::uint64_t> living_run) {
     std::vector<suspicion> taken;
     std::erase_if(items, [&](const suspicion& item) {
         const bool is_ended = item.server == server && item.server_born != living_run;
@@ -318,7 +319,7 @@
     }
 }
 
-void note_server_ended(step& step, const model::backend_server_id& server, std::uint64_t living_run) {
+void note_server_ended(step& step, const model::backend_server_id& server, std::optional<std::uint64_t> living_run) {
     auto& quarantine = step.state.quarantine;
     for (const auto& item : take_ended(quarantine.suspicions, server, living_run)) {
         report_strike(step, item);
@@ -336,7 +337,7 @@
 void end_probe(step& step, const server_probed& event) {
     const bool is_silent = event.outcome == probe_outcome::unanswered && is_removed(step.state, event.server);
     if (event.outcome == probe_outcome::refused || is_silent) {
-        note_server_ended(step, event.server, 0);
+        note_server_ended(step, event.server, std::nullopt);
     } else if (event.outcome == probe_outcome::connected) {
         // The server may have ended after the probe.
         std::erase_if(step.state.quarantine.suspicions,
--- a/source/routing/quarantine.hpp
+++ b/source/routing/quarantine.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
+#include <optional>
 
 #include "routing/step.hpp"
 
@@ -38,8 +40,8 @@
 void note_good_end(step& step, request_fingerprint request);
 
 /// The runs of the server have ended, except for one that began at `living_run`: each request that is suspected of them
-/// has a strike. 0 if the server does not run. Called before the record of the server shows the end.
-void note_server_ended(step& step, const model::backend_server_id& server, std::uint64_t living_run);
+/// has a strike. Nothing if the server does not run. Called before the record of the server shows the end.
+void note_server_ended(step& step, const model::backend_server_id& server, std::optional<std::uint64_t> living_run);
 
 void end_probe(step& step, const server_probed& event);
 void collect_strike(step& step, const request_strike& strike);
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -148,7 +148,7 @@
         return;
     }
     found->second.registered = false;
-    note_server_ended(step, id, 0);
+    note_server_ended(step, id, std::nullopt);
     forget_groups(step.state);
     if (!found->second.leaving_since) {
         found->second.leaving_since = step.now;
--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -314,7 +314,8 @@
 /// One instance with one backend server, and the outcomes that a test gives.
 class lone_instance {
 public:
-    lone_instance() {
+    explicit lone_instance(std::uint64_t server_born = 7) {
+        server_.born = server_born;
         const instance_record record{model::data_centre_id("north"), 1, {}, 0, own_protocol};
         process(instance_updated{state_.self.instance, record});
         configuration configuration;
@@ -606,6 +607,18 @@
     CHECK(instance.struck_runs(deadly) == std::set<std::uint64_t>{7});
 }
 
+TEST_CASE("the end of a server that states no start gives a strike") {
+    lone_instance instance(0);
+    instance.end(instance.send(deadly), attempt_outcome::connection_lost);
+    SECTION("its port refuses connections") {
+        instance.end_probe(probe_outcome::refused);
+    }
+    SECTION("the registry drops it") {
+        instance.remove_server();
+    }
+    CHECK(instance.struck_runs(deadly) == std::set<std::uint64_t>{0});
+}
+
 TEST_CASE("a request that was cancelled at work has a strike when the end of its server becomes known") {
     lone_instance instance;
     const bool has_left = GENERATE(true, false);
