http: accept the connections in the backlog before the listener closes

Callers that had opened a connection and sent a request on it shortly before the listener closed, 2.6 s after the process was told to stop, saw a reset if the event loop had not accepted the connection yet.

Cause: close() of a listener makes the kernel reset all connections that are complete but not accepted. Qt accepts only from the event loop, so hasPendingConnections() shows nothing of them.

stop() now accepts what is in the backlog first, at most as many connections as the backlog holds. They are handled like the others: a request is answered with 'connection: close', and an idle connection ends after stop_grace. A connection that opens between the last accept and the close is still reset, at once, as no call of the sockets API ends the one without the other.

Evidence: the new test connects and sends without running the event loop, then stops the server. Before, the connection ended without a byte; now the request is answered.

--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -7,6 +7,7 @@
 
 #include <QHostAddress>
 #include <QNetworkProxy>
+#include <QSignalBlocker>
 #include <QTcpSocket>
 
 namespace lovagetack::http {
@@ -73,6 +74,13 @@
     }
 }
 
+void server::accept_backlog() {
+    // With its signal blocked, the listener accepts at most `backlog` connections, however fast callers open new ones.
+    const QSignalBlocker blocker(&listener_);
+    listener_.waitForNewConnection(0);
+    accept_pending_connections();
+}
+
 void server::check_times() {
     const auto now = server_connection::clock::now();
     std::vector<std::shared_ptr<server_connection>> connections;
@@ -99,6 +107,8 @@
 }
 
 void server::stop(std::function<void()> stopped) {
+    // The kernel resets connections that are still in the backlog when the listener closes.
+    accept_backlog();
     listener_.close();
     stopping_ = true;
     stopped_ = std::move(stopped);
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -38,10 +38,12 @@
     /// Closes each connection after its next answer; idle connections and the listener stay open.
     void begin_closing();
 
-    /// Stops listening, waits for every open request to end, then calls the function from the event loop.
+    /// Accepts the connections that callers have already opened and stops listening, waits for every open request to
+    /// end, then calls the function from the event loop.
     void stop(std::function<void()> stopped);
 
 private:
+    void accept_backlog();
     void accept_pending_connections();
     void check_times();
     void report_stopped();
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -219,6 +219,22 @@
     caller.wait_for_close();
 }
 
+// Guards against a listener that closes with connections in its backlog: the kernel resets them, and the requests on
+// them get no answer.
+TEST_CASE("a request on a connection that was not accepted before the server stops is answered") {
+    echo_server echo;
+    raw_socket caller(echo.server->port());
+    caller.wait_until_connected();
+    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(echo.server->connections() == 0);
+    bool stopped = false;
+    echo.server->stop([&stopped] { stopped = true; });
+    caller.wait_for_close();
+    CHECK(caller.received().find("GET /a ") != std::string::npos);
+    CHECK(caller.received().find("connection: close\r\n") != std::string::npos);
+    test::run_until([&stopped] { return stopped; });
+}
+
 /// An answer to a caller that does not read it for a while.
 struct slow_answer {
     explicit slow_answer(std::string_view request, std::size_t answer_size, const http::server_limits& limits = {})
--- a/tests/http/sockets.cpp
+++ b/tests/http/sockets.cpp
@@ -69,6 +69,12 @@
     }
 }
 
+void raw_socket::wait_until_connected() {
+    if (!socket_->waitForConnected()) {
+        throw std::runtime_error("the connection of the test did not open");
+    }
+}
+
 void raw_socket::send(std::string_view bytes) {
     run_until([this] { return socket_->state() != QAbstractSocket::ConnectingState; });
     socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
--- a/tests/http/sockets.hpp
+++ b/tests/http/sockets.hpp
@@ -31,6 +31,8 @@
     raw_socket& operator=(const raw_socket&) = delete;
     ~raw_socket();
 
+    /// Waits until the connection is open. The event loop does not run, so a listener of this process accepts nothing.
+    void wait_until_connected();
     void send(std::string_view bytes);
     void send_byte_by_byte(std::string_view bytes);
     /// Closes regularly after all bytes have been sent.
