routing, gateway: requests that are open at the end of the grace period are answered

Callers whose requests were still open 250 ms before the end of the grace period saw their connections reset.

Cause: the instance logged stopped_with_open_requests and ended; nothing told the routing decisions that the time was over.

Two new events do, and what follows from them is decided in routing: - shutdown_nears_end, 1 s before the end of the grace period: nothing is sent to backend servers any more. Requests that are not at one are refused with 503 (502 if an earlier attempt may have run), new ones too, and failed attempts are not repeated. - shutdown_ends, 350 ms before it: attempts are cancelled, and their requests answered with 502, or with 503 if no byte of them was written. An answer that has begun goes on. The process ends when the callers have closed, or 250 ms before the end of the grace period as before, but not in the same turn of the event loop as the answers. The listener closes at the latest with the first of the two steps, for short grace periods.

Requests at servers are left alone as long as possible: to break one off is a loss, too, whatever the answer says.

Evidence: the new test of the gateway fails before (both callers get no byte) and passes now; two tests of routing show the outcome that is told for requests that wait, are at a server, are not written yet or have an answer under way.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.hpp"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 #include <variant>
@@ -24,6 +25,10 @@
 constexpr auto accept_time_after_stop = std::chrono::milliseconds(2600);
 /// Part of the grace period that is reserved for the exit of the process.
 constexpr auto exit_margin = std::chrono::milliseconds(250);
+/// Time before the exit at which requests that are still open are answered, so that the answers can leave.
+constexpr auto answer_time = std::chrono::milliseconds(100);
+/// Nothing is sent to backend servers from this time before the exit on, as it would most likely be broken off.
+constexpr auto shortest_work_time = std::chrono::milliseconds(750);
 /// File descriptors reserved for connections to the store, for grants and for connections to backend servers.
 constexpr std::uint32_t reserved_descriptors = 1000;
 /// Most connections of this instance to one backend server. The server's other connections are left to the other
@@ -140,15 +145,22 @@
 
 void gateway::continue_shutdown() {
     const auto elapsed = base::boot_clock::now() - shutdown_started_at_;
-    if (!closing_ && elapsed > accept_time_after_stop) {
-        closing_ = true;
+    const auto exit_at = settings_.grace - exit_margin;
+    const auto is_due = [elapsed](bool& done, auto at) { return elapsed > at && !std::exchange(done, true); };
+    if (is_due(closing_, std::min<std::chrono::milliseconds>(accept_time_after_stop, exit_at - shortest_work_time))) {
         relay_.stop([this] {
             log_event(false, "stopped", {});
             std::exchange(on_stopped_, nullptr)();
         });
+    }
+    if (is_due(sends_nothing_more_, exit_at - shortest_work_time)) {
+        handle(routing::shutdown_nears_end{});
+    }
+    if (is_due(ending_, exit_at - answer_time)) {
+        handle(routing::shutdown_ends{});
         return;
     }
-    if (elapsed > settings_.grace - exit_margin && on_stopped_) {
+    if (elapsed > exit_at && on_stopped_) {
         log_event(true, "stopped_with_open_requests", {{"open_requests", std::to_string(relay_.open_exchanges())}});
         std::exchange(on_stopped_, nullptr)();
     }
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -36,7 +36,7 @@
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
 
-    /// Lets open requests end within the grace period, then calls `on_stopped`.
+    /// Lets open requests end within the grace period and answers those that do not, then calls `on_stopped`.
     void shut_down(std::function<void()> on_stopped);
     /// Takes over the grace period and the heartbeat period from settings that were read again.
     void reload(const settings& values);
@@ -108,7 +108,10 @@
     base::boot_time last_summary_at_;
     base::boot_time shutdown_started_at_;
     std::function<void()> on_stopped_;
+    // Steps of the shutdown that have been done.
     bool closing_ = false;
+    bool sends_nothing_more_ = false;
+    bool ending_ = false;
 };
 
 } // namespace lovagetack::gateway
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -495,14 +495,21 @@
 /// Shutdown of the instance begins: it is no longer ready, and gives up the keeper's lease.
 struct shutdown_begun {};
 
-using event = std::variant<store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected,
-                           evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
-                           assignment_learned, assignment_changed, assignments_complete, instance_updated,
-                           instance_removed, quarantine_learned, quarantine_removed, request_strike,
-                           quarantine_objection, server_probed, lease_read, rows_written, assignments_read, grant_ended,
-                           release_ended, renewal_orders, renewal_report, table_updated, slot_request, slot_answer,
-                           slot_release, slot_report, reader_heartbeat, table_change_received, table_changes_wanted,
-                           table_changes_unknown, instance_load, request_arrived, caller_left, connection_dropped,
-                           attempt_sent, answer_forwarding_started, attempt_ended, ticked, shutdown_begun>;
+/// The rest of the grace period of a shutdown is too short for work at a backend server that has not begun.
+struct shutdown_nears_end {};
+
+/// The process is about to end: what has not been answered by now can only be answered by this instance.
+struct shutdown_ends {};
+
+using event =
+    std::variant<store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected,
+                 evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
+                 assignment_learned, assignment_changed, assignments_complete, instance_updated, instance_removed,
+                 quarantine_learned, quarantine_removed, request_strike, quarantine_objection, server_probed,
+                 lease_read, rows_written, assignments_read, grant_ended, release_ended, renewal_orders, renewal_report,
+                 table_updated, slot_request, slot_answer, slot_release, slot_report, reader_heartbeat,
+                 table_change_received, table_changes_wanted, table_changes_unknown, instance_load, request_arrived,
+                 caller_left, connection_dropped, attempt_sent, answer_forwarding_started, attempt_ended, ticked,
+                 shutdown_begun, shutdown_nears_end, shutdown_ends>;
 
 } // namespace lovagetack::routing
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -219,6 +219,16 @@
     step.state.shutdown_begun_at = step.now;
 }
 
+void on(step& step, const shutdown_nears_end& /*event*/) {
+    step.state.sends_nothing_more = true;
+    refuse_unsent_exchanges(step);
+}
+
+void on(step& step, const shutdown_ends& /*event*/) {
+    step.state.sends_nothing_more = true;
+    end_unanswered_exchanges(step);
+}
+
 /// These events are frequent, and the keeper does not have to act on them before the next tick.
 bool concerns_keeper(const event& event) {
     const auto is_any_of = [&event]<class... Events>(std::type_identity<std::variant<Events...>> /*kinds*/) {
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -245,8 +245,8 @@
 /// be answered instead. `takes_token`: charge the retry budget.
 bool retry(step& step, exchange_id id, bool takes_token) {
     auto& exchange = step.state.exchanges.at(id);
-    if (exchange.attempts_left <= 0 || exchange.expires_at <= step.now + answer_margin ||
-        is_quarantined(step.state, exchange.request.fingerprint)) {
+    if (step.state.sends_nothing_more || exchange.attempts_left <= 0 ||
+        exchange.expires_at <= step.now + answer_margin || is_quarantined(step.state, exchange.request.fingerprint)) {
         return false;
     }
     if (takes_token && !take_retry_token(service_of(step, exchange))) {
@@ -262,6 +262,18 @@
     return true;
 }
 
+/// Cancels the attempt of a request that is at a backend server.
+void cancel_current_attempt(step& step, exchange_id id) {
+    auto& exchange = step.state.exchanges.at(id);
+    exchange.may_have_run = exchange.may_have_run || exchange.sending;
+    const auto server = step.state.servers.find(exchange.server);
+    if (server != step.state.servers.end()) {
+        --server->second.outstanding;
+        step.state.load_changed = true;
+    }
+    step.add(cancel_attempt{id, exchange.attempt});
+}
+
 void log_attempt(step& step, const exchange& exchange, const attempt_ended& event, std::chrono::microseconds elapsed) {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
     step.add(log_line{true,
@@ -280,7 +292,8 @@
     const auto id = event.exchange;
     auto& exchange = state.exchanges[id];
     exchange.request = event;
-    const bool too_late = state.shutting_down && step.now - state.shutdown_begun_at > admission_after_stop;
+    const bool too_late =
+        state.sends_nothing_more || (state.shutting_down && step.now - state.shutdown_begun_at > admission_after_stop);
     if (state.configuration.version == 0 || too_late) {
         exchange.expires_at = step.now;
         answer(step, id, result_code::instance_not_ready, spread_retry_after(step));
@@ -379,12 +392,7 @@
                   number_field("waited_ms", waited), number_field("deadline_ms", exchange.request.deadline.count()),
                   number_field("configuration", step.state.configuration.version)}});
     if (exchange.phase == exchange_phase::sent) {
-        const auto server = step.state.servers.find(exchange.server);
-        if (server != step.state.servers.end()) {
-            --server->second.outstanding;
-            step.state.load_changed = true;
-        }
-        step.add(cancel_attempt{id, exchange.attempt});
+        cancel_current_attempt(step, id);
     }
     erase_exchange(step, id);
 }
@@ -484,19 +492,34 @@
         const auto id = step.state.deadlines.begin()->second;
         auto& exchange = step.state.exchanges.at(id);
         if (exchange.phase == exchange_phase::sent) {
-            exchange.may_have_run = exchange.may_have_run || exchange.sending;
+            cancel_current_attempt(step, id);
             const auto server = step.state.servers.find(exchange.server);
             if (server != step.state.servers.end()) {
-                --server->second.outstanding;
-                step.state.load_changed = true;
                 server->second.spare_window = std::max(smallest_spare_window, server->second.spare_window - 0.5);
             }
-            step.add(cancel_attempt{id, exchange.attempt});
         }
         answer(step, id, result_code::request_deadline_passed, spread_retry_after(step));
     }
 }
 
+void refuse_unsent_exchanges(step& step) {
+    for (const auto& [expires_at, id] : std::set(step.state.deadlines)) {
+        if (step.state.exchanges.at(id).phase != exchange_phase::sent) {
+            answer(step, id, result_code::request_shutting_down, spread_retry_after(step));
+        }
+    }
+}
+
+void end_unanswered_exchanges(step& step) {
+    // A request whose answer has started has no deadline any more.
+    for (const auto& [expires_at, id] : std::set(step.state.deadlines)) {
+        if (step.state.exchanges.at(id).phase == exchange_phase::sent) {
+            cancel_current_attempt(step, id);
+        }
+        answer(step, id, result_code::request_shutting_down, spread_retry_after(step));
+    }
+}
+
 void send_queued_requests(step& step) {
     auto& state = step.state;
     const bool has_unsent = std::any_of(state.exchanges.begin(), state.exchanges.end(), [](const auto& entry) {
--- a/source/routing/requests.hpp
+++ b/source/routing/requests.hpp
@@ -26,6 +26,11 @@
 /// Ends the requests whose deadline has passed.
 void end_overdue_exchanges(step& step);
 
+/// Ends the requests that are not at a backend server now.
+void refuse_unsent_exchanges(step& step);
+/// Ends all requests but those whose answer has started.
+void end_unanswered_exchanges(step& step);
+
 /// Sends or refuses queued and waiting requests where that is possible now.
 void send_queued_requests(step& step);
 
--- /dev/null
+++ b/tests/gateway/gateway_test.cpp
@@ -0,0 +1,138 @@
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "dialect.hpp"
+#include "gateway/gateway.hpp"
+#include "http/sockets.hpp"
+#include "routing/samples.hpp"
+
+namespace lovagetack::gateway {
+namespace {
+
+using test::raw_socket;
+
+/// A store whose rows the test reports as events.
+class fake_store final : public store_port {
+public:
+    void start(const routing::instance_record& /*own_record*/) override {}
+    void execute(const routing::read_lease& /*effect*/) override {}
+    void execute(const routing::read_assignments& /*effect*/) override {}
+    void execute(const routing::refresh_assignments& /*effect*/) override {}
+    void execute(const routing::write_rows& /*effect*/) override {}
+    void execute(const routing::write_quarantine& /*effect*/) override {}
+    void execute(const routing::lift_quarantine& /*effect*/) override {}
+    void execute(const routing::follow_store& /*effect*/) override {}
+    void execute(const routing::apply_table_change& /*effect*/) override {}
+    void execute(const routing::catch_up& /*effect*/) override {}
+    std::optional<std::vector<routing::table_change>> changes_after(routing::followed_table /*table*/,
+                                                                    std::uint64_t /*version*/) override {
+        return std::nullopt;
+    }
+    const store_counters& counters() const override { return counters_; }
+
+private:
+    store_counters counters_;
+};
+
+class fake_grants final : public grant_port {
+public:
+    void execute(const routing::grant_range& /*effect*/) override {}
+    void execute(const routing::release_range& /*effect*/) override {}
+    void check_times() override {}
+};
+
+/// An instance with a service that has one backend server, and a service divided by key whose keys are moving. The test
+/// acts as callers and backend server on raw sockets.
+struct fixture {
+    explicit fixture(std::chrono::milliseconds grace) {
+        test::ensure_application();
+        settings settings;
+        settings.instance = model::instance_id("one");
+        settings.data_centre = model::data_centre_id("north");
+        settings.callers = {"127.0.0.1", port = test::unused_port()};
+        settings.readiness = {"127.0.0.1", 0};
+        settings.grace = grace;
+        platform_adapters adapters;
+        adapters.dialect = std::make_unique<operators_platform::dialect>();
+        adapters.make_store = [this](event_handler handler) {
+            report = std::move(handler);
+            return std::make_unique<fake_store>();
+        };
+        adapters.make_grants = [](const event_handler&) { return std::make_unique<fake_grants>(); };
+        auto created = gateway::create(settings, std::move(adapters));
+        REQUIRE(created);
+        instance = std::move(created.value());
+        report_rows();
+    }
+
+    void report_rows() const {
+        const model::service_id unkeyed("book");
+        const model::service_id keyed("board");
+        routing::configuration configuration;
+        configuration.version = 1;
+        configuration.services[unkeyed] = {unkeyed, "/health", 100, 6.0, std::chrono::seconds(3), false};
+        configuration.services[keyed] = {keyed, "/health", 100, 6.0, std::chrono::seconds(3), true};
+        configuration.routes = {
+            routing::testing::route_to("/pay/", routing::request_kind::non_idempotent, unkeyed),
+            routing::testing::route_to("/look/", routing::request_kind::idempotent, keyed),
+        };
+        for (auto& route : configuration.routes) {
+            route.timeout = std::chrono::seconds(20);
+            route.latency_objective = std::chrono::seconds(20);
+        }
+        report(routing::configuration_updated{configuration});
+        auto registration = routing::testing::server_of("book-0", unkeyed);
+        registration.address = {"127.0.0.1", server.port()};
+        report(routing::backend_server_updated{registration});
+        report(routing::registry_complete{});
+        routing::key_range moving;
+        moving.last = routing::key_count - 1;
+        moving.owner = model::backend_server_id("board-0");
+        moving.leaving = model::backend_server_id("board-1");
+        moving.fence = 1;
+        report(routing::assignment_learned{keyed, 1, {2, {}, {moving}}});
+        report(routing::assignments_complete{});
+    }
+
+    std::unique_ptr<raw_socket> request(const std::string& path) const {
+        auto caller = std::make_unique<raw_socket>(port);
+        caller->send("GET " + path + " HTTP/1.1\r\nHost: host\r\nLovagetack-Request-Id: abc\r\n" +
+                     "Lovagetack-Shard-Key: 7\r\n\r\n");
+        return caller;
+    }
+
+    test::raw_listener server;
+    event_handler report;
+    std::unique_ptr<gateway> instance;
+    std::uint16_t port = 0;
+};
+
+} // namespace
+
+// Guards against requests that are cut off at the end of the grace period, so that their callers know nothing of their
+// outcome.
+TEST_CASE("requests that are open at the end of the grace period are answered before the process ends") {
+    fixture test(std::chrono::milliseconds(1400));
+    const auto sent = test.request("/pay/1");
+    test.server.connection(0).wait_for("\r\n\r\n");
+    const auto unsent = test.request("/look/1");
+    test::settle();
+    bool stopped = false;
+    test.instance->shut_down([&stopped] { stopped = true; });
+    test::run_until([&stopped] { return stopped; });
+    test.instance.reset();
+    unsent->wait_for_close();
+    CHECK(unsent->received().find("HTTP/1.1 503 ") == 0);
+    CHECK(unsent->received().find("Retry-After: ") != std::string::npos);
+    sent->wait_for_close();
+    CHECK(sent->received().find("HTTP/1.1 502 ") == 0);
+    CHECK(sent->received().find("Retry-After: ") == std::string::npos);
+}
+
+} // namespace lovagetack::gateway
--- a/tests/routing/requests_test.cpp
+++ b/tests/routing/requests_test.cpp
@@ -67,6 +67,17 @@
         }
     }
 
+    /// From now on, all keys of `keyed_service` are moving, so that requests for them wait.
+    void let_keys_move() {
+        key_range moving;
+        moving.last = key_count - 1;
+        moving.owner = model::backend_server_id("board-0");
+        moving.owner_born = 7;
+        moving.fence = 2;
+        moving.leaving = model::backend_server_id("board-1");
+        process_event(assignment_learned{keyed_service, 2, {3, {}, {moving}}});
+    }
+
     /// Attempts that were sent for the request.
     std::vector<send_request> sent(exchange_id id) const {
         std::vector<send_request> found;
@@ -170,13 +181,7 @@
     REQUIRE(instance.answers(sent).front().status == 504);
     REQUIRE(instance.count<cancel_attempt>() == 1);
 
-    key_range moving;
-    moving.last = key_count - 1;
-    moving.owner = model::backend_server_id("board-0");
-    moving.owner_born = 7;
-    moving.fence = 2;
-    moving.leaving = model::backend_server_id("board-1");
-    instance.process_event(assignment_learned{keyed_service, 2, {3, {}, {moving}}});
+    instance.let_keys_move();
     const auto waiting = instance.request("/look/1");
     instance.advance_time(1100ms);
     REQUIRE(instance.sent(waiting).empty());
@@ -295,6 +300,65 @@
     REQUIRE(instance.answers(late).front().retry_after > 0ms);
 }
 
+// Guards against requests that end without an answer when the process does, although nothing has been sent yet, and
+// against requests that are sent too late to be answered.
+TEST_CASE("shortly before the end of a shutdown, requests that were not sent are refused as not run") {
+    instance instance(1);
+    instance.process_event(shutdown_begun{});
+    const auto sent = instance.request("/get/1");
+    instance.process_event(attempt_sent{sent, instance.sent(sent).back().attempt});
+    instance.let_keys_move();
+    const auto waiting = instance.request("/look/1");
+    REQUIRE(instance.sent(waiting).empty());
+    instance.process_event(shutdown_nears_end{});
+    REQUIRE(instance.answers(waiting).size() == 1);
+    CHECK(instance.answers(waiting).front().status == 503);
+    CHECK(instance.answers(waiting).front().code == base::result_code::request_shutting_down);
+    CHECK(instance.answers(waiting).front().retry_after > 0ms);
+    const auto late = instance.request("/get/2");
+    CHECK(instance.sent(late).empty());
+    CHECK(instance.answers(late).front().status == 503);
+
+    REQUIRE(instance.answers(sent).empty());
+    SECTION("an answer that comes later is delivered") {
+        instance.end(sent, attempt_outcome::delivered, 200);
+        CHECK(instance.answers(sent).empty());
+    }
+    SECTION("a request that the server did not run is not sent again") {
+        instance.end(sent, attempt_outcome::not_run, 503);
+        CHECK(instance.sent(sent).size() == 1);
+        CHECK(instance.answers(sent).front().status == 503);
+    }
+    SECTION("a request that may have run is not sent again and not refused") {
+        instance.end(sent, attempt_outcome::connection_lost);
+        CHECK(instance.sent(sent).size() == 1);
+        CHECK(instance.answers(sent).front().status == 502);
+    }
+    CHECK(instance.state().exchanges.empty());
+}
+
+// Guards against callers that are told nothing, or that a request has not run which may run.
+TEST_CASE("at the end of a shutdown every request is answered with its outcome") {
+    instance instance;
+    const auto sent = instance.request("/pay/1");
+    instance.process_event(attempt_sent{sent, instance.sent(sent).back().attempt});
+    const auto connecting = instance.request("/pay/2");
+    const auto answered = instance.request("/get/1");
+    instance.process_event(attempt_sent{answered, instance.sent(answered).back().attempt});
+    instance.process_event(answer_forwarding_started{answered, instance.sent(answered).back().attempt});
+    instance.process_event(shutdown_begun{});
+    instance.process_event(shutdown_ends{});
+    REQUIRE(instance.answers(sent).size() == 1);
+    CHECK(instance.answers(sent).front().status == 502);
+    CHECK(instance.answers(sent).front().retry_after == 0ms);
+    REQUIRE(instance.answers(connecting).size() == 1);
+    CHECK(instance.answers(connecting).front().status == 503);
+    CHECK(instance.count<cancel_attempt>() == 2);
+    // The rest of this answer may still arrive in time.
+    CHECK(instance.answers(answered).empty());
+    CHECK(instance.state().exchanges.size() == 1);
+}
+
 TEST_CASE("a draining server gets no new requests") {
     instance instance(2);
     auto leaving = server_of("book-0", unkeyed_service);
