http: the end of the process does not reset connections whose answer is complete

A caller that had not read its answer to the end when the process ended got a reset instead of the rest, also of an answer that had been passed to the kernel whole. That concerns the refusals at the end of the grace period, which are written shortly before the end.

Cause: the destructor of the server reset all connections. It does so now only where an answer is missing or incomplete; the others are closed, and the kernel sends what it holds.

--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -35,7 +35,7 @@
     stopped_ = nullptr;
     const auto connections = connections_;
     for (const auto& [pointer, connection] : connections) {
-        connection->abort();
+        connection->close();
     }
 }
 
--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -364,6 +364,18 @@
     on_closed_(*this);
 }
 
+void server_connection::close() {
+    const auto self = shared_from_this();
+    if (phase_ == phase::closed) {
+        return;
+    }
+    if (request_open() || stream_.unsent() > 0) {
+        abort();
+        return;
+    }
+    close_unread();
+}
+
 void server_connection::finish() {
     finishing_ = true;
     last_progress_ = clock::now();
--- a/source/http/server_connection.hpp
+++ b/source/http/server_connection.hpp
@@ -90,6 +90,8 @@
 
     /// Resets the connection at once; the handler is not called afterwards.
     void abort();
+    /// The same, but a complete answer that was passed to the kernel is still sent.
+    void close();
 
     /// Closes the connection after the next answer; it stays open until then.
     void announce_close() { close_announced_ = true; }
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -281,6 +281,16 @@
     CHECK(answer.received_after(std::chrono::milliseconds(2500)) > answer.size);
 }
 
+// Guards against a reset at the end of the process: it discards what the kernel has not sent yet.
+TEST_CASE("the end of the server does not discard a whole answer in the kernel's buffer") {
+    slow_answer answer("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", std::size_t(3) * 1024 * 1024);
+    answer.end();
+    REQUIRE(answer.echo.handler.last->unsent() == 0);
+    answer.echo.handler.last = nullptr;
+    answer.echo.server.reset();
+    CHECK(answer.received_after(std::chrono::milliseconds(100)) > answer.size);
+}
+
 // Guards against a reset at the close of an idle connection: it discards what the kernel has not sent yet.
 TEST_CASE("the close of an idle connection does not discard an answer in the kernel's buffer") {
     http::server_limits limits;
