http: a shorter idle time does not close connections whose callers count on the longer one

When a change of the configuration lowered idle_timeout_ms, all connections that had been idle for longer than the new value were closed at the next check. Callers reuse connections by the time that they know of, so requests crossed the close of many connections at once, and those that were sent into it were reset (unread).

Cause: open connections read the limit when they are checked, not when their caller was answered last.

A connection now stays open for the longer of the idle time at its last answer and the one in force. A longer idle time holds at once, as before.

Evidence: the new test lowers the idle time from 100 s to 50 s; a connection that has been idle for 90 s was closed before and stays open now.

--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -31,7 +31,7 @@
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
-    /// Applies to open connections too.
+    /// Applies to open connections too; a shorter idle time only after the next answer on them.
     void set_limits(std::uint64_t body_bytes, std::chrono::milliseconds header_time,
                     std::chrono::milliseconds idle_time);
 
--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -18,7 +18,8 @@
 
 server_connection::server_connection(QTcpSocket* socket, handler& requests, const server_limits& limits,
                                      std::function<void(server_connection&)> on_closed)
-    : handler_(requests), limits_(limits), on_closed_(std::move(on_closed)), stream_(socket, *this) {}
+    : handler_(requests), limits_(limits), on_closed_(std::move(on_closed)), promised_idle_time_(limits.idle_time),
+      stream_(socket, *this) {}
 
 void server_connection::stream_readable() {
     process();
@@ -248,6 +249,7 @@
 void server_connection::start_answer(int status, std::string_view reason, std::string_view lines, body_framing framing,
                                      std::uint64_t length) {
     answer_started_ = true;
+    promised_idle_time_ = limits_.idle_time;
     const bool without_body = status == 204 || status == 304 || head_request_;
     answer_framing_ = framing;
     if (framing == body_framing::until_close || (framing == body_framing::chunked && is_http_1_0_)) {
@@ -388,6 +390,11 @@
                  "lovagetack-outcome: not-run\r\nretry-after: 1\r\n");
 }
 
+std::chrono::milliseconds server_connection::longest_wait() const {
+    // A caller that has not heard of a shorter idle time may still send a request.
+    return finishing_ ? limits_.stop_grace : std::max(promised_idle_time_, limits_.idle_time);
+}
+
 void server_connection::check_time(clock::time_point now) {
     const auto self = shared_from_this();
     const auto sent = stream_.sent();
@@ -405,7 +412,7 @@
             return;
         }
         // A request that has already arrived is read first.
-        if (waited > (finishing_ ? limits_.stop_grace : limits_.idle_time) && !stream_.has_unread()) {
+        if (waited > longest_wait() && !stream_.has_unread()) {
             close_unread();
         }
         return;
--- a/source/http/server_connection.hpp
+++ b/source/http/server_connection.hpp
@@ -126,6 +126,8 @@
     void close_unread();
     void end_connection(std::string cause);
     [[nodiscard]] bool request_open() const;
+    /// How long the connection stays open between two requests.
+    [[nodiscard]] std::chrono::milliseconds longest_wait() const;
 
     handler& handler_;
     const server_limits& limits_;
@@ -140,6 +142,8 @@
     std::size_t discarded_ = 0;
     std::uint64_t last_sent_ = 0;
     clock::time_point last_progress_ = clock::now();
+    /// The idle time that was in force when the last answer began.
+    std::chrono::milliseconds promised_idle_time_;
     phase phase_ = phase::waiting;
     body_framing framing_ = body_framing::none;
     body_framing answer_framing_ = body_framing::none;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -199,6 +199,62 @@
     connection->abort();
 }
 
+// Guards against an idle time that begins before the caller has its answer: the caller counts from the answer.
+TEST_CASE("the idle time of a connection begins at the end of its last answer") {
+    echo_server echo;
+    echo.handler.withhold_answers = true;
+    raw_socket caller(echo.server->port());
+    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    test::run_until([&echo] { return echo.handler.last != nullptr; });
+    const auto& connection = echo.handler.last;
+    connection->start_answer(200, "OK", "", http::body_framing::length, 2);
+    const auto started = http::server_connection::clock::now();
+    test::run_until(
+        [started] { return http::server_connection::clock::now() - started > std::chrono::milliseconds(20); });
+    const auto before_end = http::server_connection::clock::now();
+    connection->answer_body("ok");
+    connection->end_answer();
+    connection->check_time(http::server_connection::clock::now());
+    const auto idle_time = http::server_limits().idle_time;
+    connection->check_time(before_end + idle_time);
+    CHECK(echo.server->connections() == 1);
+    connection->check_time(http::server_connection::clock::now() + idle_time + std::chrono::milliseconds(1));
+    CHECK(echo.server->connections() == 0);
+}
+
+// Guards against requests that cross the close of many connections at once: a caller that has taken the longer idle
+// time into account may still reuse them.
+TEST_CASE("a shorter idle time holds for a connection only after its next answer, a longer one at once") {
+    echo_server echo;
+    raw_socket caller(echo.server->port());
+    const auto send_request = [&] {
+        caller.forget_received();
+        caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+        caller.wait_for("GET /a ");
+        echo.handler.last->check_time(http::server_connection::clock::now());
+    };
+    const auto is_open_after = [&](std::chrono::milliseconds time) {
+        echo.handler.last->check_time(http::server_connection::clock::now() + time);
+        return echo.server->connections() == 1;
+    };
+    const auto set_idle_time = [&](std::chrono::seconds time) {
+        echo.server->set_limits(1000, std::chrono::seconds(5), time);
+    };
+    set_idle_time(std::chrono::seconds(100));
+    send_request();
+    set_idle_time(std::chrono::seconds(50));
+    CHECK(is_open_after(std::chrono::seconds(90)));
+    SECTION("shorter") {
+        send_request();
+        CHECK_FALSE(is_open_after(std::chrono::seconds(51)));
+    }
+    SECTION("longer") {
+        set_idle_time(std::chrono::seconds(200));
+        CHECK(is_open_after(std::chrono::seconds(190)));
+        CHECK_FALSE(is_open_after(std::chrono::seconds(201)));
+    }
+}
+
 // Guards against a close that the caller cannot know of: the answer said that the connection stays open.
 TEST_CASE("a request after an answer that was begun before the server stopped is answered") {
     echo_server echo;
