http: answers tell callers for how long they may reuse the connection

Nothing on this side counts the idle time too early: it begins with the end of the answer, or with the next check if bytes left since the check before. What is left is that callers count from a later moment, or by another limit. The protocol of the platform says that they respect the time given in Keep-Alive.

Answers that keep the connection open now state two thirds of the idle time, in whole seconds. The rest is a margin for callers that count from a later moment.

Evidence: the new test fails without the change, as the field is missing, and passes now.

--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -11,6 +11,12 @@
 /// Bytes that a caller may still send after its last answer before the connection is reset.
 constexpr std::size_t linger_bytes = std::size_t(4) * 1024 * 1024;
 
+/// The time that callers are told is two thirds of the idle time: they count from a later moment than this end, and
+/// their next request needs time to arrive.
+constexpr std::chrono::seconds stated_idle_time(std::chrono::milliseconds idle_time) {
+    return std::chrono::duration_cast<std::chrono::seconds>(idle_time * 2 / 3);
+}
+
 constexpr std::string_view outcome_not_run_line = "lovagetack-outcome: not-run\r\n";
 constexpr std::string_view outcome_unknown_line = "lovagetack-outcome: unknown\r\n";
 
@@ -271,6 +277,10 @@
     } else if (is_http_1_0_) {
         append_field(output_, "connection", "keep-alive");
     }
+    const auto idle_time = stated_idle_time(promised_idle_time_);
+    if (keep_alive_ && idle_time.count() > 0) {
+        append_field(output_, "keep-alive", "timeout=" + std::to_string(idle_time.count()));
+    }
     output_.append("\r\n");
     if (without_body) {
         answer_framing_ = body_framing::none;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -255,6 +255,26 @@
     }
 }
 
+// Guards against callers that reuse a connection until the moment at which the server closes it.
+TEST_CASE("an answer that keeps the connection open states a shorter time than the connection stays open") {
+    http::server_limits limits;
+    limits.idle_time = std::chrono::seconds(15);
+    echo_server echo(limits);
+    raw_socket caller(echo.server->port());
+    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    caller.wait_for("GET /a ");
+    CHECK(test::count_of(caller.received(), "keep-alive: timeout=10\r\n") == 1);
+    CHECK(answer_until_close(echo, "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").find("keep-alive") ==
+          std::string::npos);
+    SECTION("the time is not stated if it is below a second") {
+        echo.server->set_limits(1000, std::chrono::seconds(5), std::chrono::seconds(1));
+        caller.forget_received();
+        caller.send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+        caller.wait_for("GET /b ");
+        CHECK(caller.received().find("keep-alive") == std::string::npos);
+    }
+}
+
 // Guards against a close that the caller cannot know of: the answer said that the connection stays open.
 TEST_CASE("a request after an answer that was begun before the server stopped is answered") {
     echo_server echo;
