http: correct the comment on finish(), share the preparation of tests of begun answers

The comment said that the connection closes after the open request; since an answer that was begun before does not close it. The tests of answers that were begun before something else happens prepare them with one function. What they check is unchanged.

--- a/source/http/server_connection.hpp
+++ b/source/http/server_connection.hpp
@@ -96,7 +96,8 @@
     /// Closes the connection after the next answer; it stays open until then.
     void announce_close() { close_announced_ = true; }
 
-    /// Closes the connection after the open request; without one, after it has been idle for stop_grace.
+    /// Closes the connection after the next answer that begins, or after it has been idle for stop_grace. An answer
+    /// that has begun did not announce the close, so the connection stays open after it.
     void finish();
     /// Refuses a connection above the limit of the server.
     void refuse_connection();
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -27,6 +27,15 @@
     std::unique_ptr<http::server> server;
 };
 
+/// Sends one request and begins its answer, which the test continues on the connection `echo.handler.last`.
+void begin_answer(echo_server& echo, raw_socket& caller, std::string_view request, std::size_t size) {
+    echo.handler.withhold_answers = true;
+    caller.send(request);
+    test::run_until([&echo] { return echo.handler.last != nullptr; });
+    echo.handler.last->start_answer(200, "OK", "", http::body_framing::length, size);
+    echo.handler.withhold_answers = false;
+}
+
 /// Sends one request and returns all bytes received until the server closed the connection.
 std::string answer_until_close(const echo_server& echo, std::string_view request) {
     raw_socket caller(echo.server->port());
@@ -202,12 +211,9 @@
 // Guards against an idle time that begins before the caller has its answer: the caller counts from the answer.
 TEST_CASE("the idle time of a connection begins at the end of its last answer") {
     echo_server echo;
-    echo.handler.withhold_answers = true;
     raw_socket caller(echo.server->port());
-    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
-    test::run_until([&echo] { return echo.handler.last != nullptr; });
+    begin_answer(echo, caller, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", 2);
     const auto& connection = echo.handler.last;
-    connection->start_answer(200, "OK", "", http::body_framing::length, 2);
     const auto started = http::server_connection::clock::now();
     test::run_until(
         [started] { return http::server_connection::clock::now() - started > std::chrono::milliseconds(20); });
@@ -278,13 +284,9 @@
 // Guards against a close that the caller cannot know of: the answer said that the connection stays open.
 TEST_CASE("a request after an answer that was begun before the server stopped is answered") {
     echo_server echo;
-    echo.handler.withhold_answers = true;
     raw_socket caller(echo.server->port());
-    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
-    test::run_until([&echo] { return echo.handler.last != nullptr; });
-    echo.handler.last->start_answer(200, "OK", "", http::body_framing::length, 2);
+    begin_answer(echo, caller, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", 2);
     echo.server->stop([] {});
-    echo.handler.withhold_answers = false;
     echo.handler.last->answer_body("ok");
     echo.handler.last->end_answer();
     caller.wait_for("ok");
@@ -315,12 +317,9 @@
 struct slow_answer {
     explicit slow_answer(std::string_view request, std::size_t answer_size, const http::server_limits& limits = {})
         : echo(limits), size(answer_size) {
-        echo.handler.withhold_answers = true;
         caller = std::make_unique<raw_socket>(echo.server->port());
-        caller->send(request);
-        test::run_until([this] { return echo.handler.last != nullptr; });
+        begin_answer(echo, *caller, request, size);
         caller->stop_reading();
-        echo.handler.last->start_answer(200, "OK", "", http::body_framing::length, size);
     }
 
     void end() {
