http: a listener that could not accept a connection tries again

After one connection that could not be accepted, for example for lack of file descriptors, the instance accepted none any more until it was restarted. Callers' new connections were completed by the kernel, and the requests on them waited unread.

Cause: QTcpServer pauses accepting after each error of accept() but a temporary one, and nothing resumed it. The next check of times, 100 ms later at most, now does, unless the listener has been closed.

Evidence: the new test lets the process open no file while a connection is in the backlog. Before, the request got no answer within 30 s after the limit was lifted; now it is answered, also if the server stops in between.

--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -27,6 +27,7 @@
     listener_.setListenBacklogSize(backlog);
     listener_.setMaxPendingConnections(backlog);
     QObject::connect(&listener_, &QTcpServer::newConnection, &listener_, [this] { accept_pending_connections(); });
+    QObject::connect(&listener_, &QTcpServer::acceptError, &listener_, [this] { accepting_paused_ = true; });
     QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { check_times(); });
     timer_.start(check_period);
 }
@@ -82,6 +83,10 @@
 }
 
 void server::check_times() {
+    // Qt pauses a listener that cannot accept a connection, for example for lack of file descriptors.
+    if (std::exchange(accepting_paused_, false) && listener_.isListening()) {
+        listener_.resumeAccepting();
+    }
     const auto now = server_connection::clock::now();
     std::vector<std::shared_ptr<server_connection>> connections;
     connections.reserve(connections_.size());
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -54,6 +54,7 @@
     QTimer timer_;
     std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
     std::function<void()> stopped_;
+    bool accepting_paused_ = false;
     bool stopping_ = false;
     bool closing_ = false;
     deferred_calls calls_;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -5,6 +5,9 @@
 #include <string>
 #include <vector>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <QHostAddress>
 #include <QTcpServer>
 
@@ -376,6 +379,50 @@
     CHECK(answer.received_after(std::chrono::milliseconds(1000)) > answer.size);
 }
 
+/// Lets the process open no more files for its lifetime.
+class file_limit {
+public:
+    file_limit() {
+        ::getrlimit(RLIMIT_NOFILE, &before_);
+        const int lowest_free = ::dup(0);
+        ::close(lowest_free);
+        const rlimit none_left{static_cast<rlim_t>(lowest_free), before_.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &none_left);
+    }
+    file_limit(const file_limit&) = delete;
+    file_limit& operator=(const file_limit&) = delete;
+    ~file_limit() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+
+private:
+    rlimit before_{};
+};
+
+// Guards against a listener that accepts nothing more after one failure, so that all requests on new connections wait
+// unread.
+TEST_CASE("connections that could not be accepted for lack of file descriptors are accepted later") {
+    echo_server echo;
+    raw_socket caller(echo.server->port());
+    caller.wait_until_connected();
+    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    {
+        const file_limit limit;
+        test::settle();
+        REQUIRE(echo.server->connections() == 0);
+    }
+    SECTION("while the server listens") {
+        caller.wait_for("GET /a ");
+    }
+    SECTION("when it stops before it has tried again") {
+        bool stopped = false;
+        echo.server->stop([&stopped] { stopped = true; });
+        caller.wait_for("GET /a ");
+        // The next check of times must not resume the closed listener.
+        const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+        test::run_until([until] { return std::chrono::steady_clock::now() > until; });
+        CHECK(stopped);
+    }
+}
+
 // Guards against more connections than the instance has memory for, and against closed connections that still count
 // towards the limit.
 TEST_CASE("a connection above the limit is refused until another one closes") {
