--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -7,6 +7,7 @@
 
 #include <QHostAddress>
 #include <QNetworkProxy>
+#include <QSignalBlocker>
 #include <QTcpSocket>
 
 namespace lovagetack::http {
@@ -26,6 +27,7 @@
     listener_.setListenBacklogSize(backlog);
     listener_.setMaxPendingConnections(backlog);
     QObject::connect(&listener_, &QTcpServer::newConnection, &listener_, [this] { accept_pending_connections(); });
+    QObject::connect(&listener_, &QTcpServer::acceptError, &listener_, [this] { accepting_paused_ = true; });
     QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { check_times(); });
     timer_.start(check_period);
 }
@@ -34,7 +36,7 @@
     stopped_ = nullptr;
     const auto connections = connections_;
     for (const auto& [pointer, connection] : connections) {
-        connection->abort();
+        connection->close();
     }
 }
 
@@ -73,7 +75,18 @@
     }
 }
 
+void server::accept_backlog() {
+    // With its signal blocked, the listener accepts at most `backlog` connections, however fast callers open new ones.
+    const QSignalBlocker blocker(&listener_);
+    listener_.waitForNewConnection(0);
+    accept_pending_connections();
+}
+
 void server::check_times() {
+    // Qt pauses a listener that cannot accept a connection, for example for lack of file descriptors.
+    if (std::exchange(accepting_paused_, false) && listener_.isListening()) {
+        listener_.resumeAccepting();
+    }
     const auto now = server_connection::clock::now();
     std::vector<std::shared_ptr<server_connection>> connections;
     connections.reserve(connections_.size());
@@ -99,6 +112,8 @@
 }
 
 void server::stop(std::function<void()> stopped) {
+    // The kernel resets connections that are still in the backlog when the listener closes.
+    accept_backlog();
     listener_.close();
     stopping_ = true;
     stopped_ = std::move(stopped);
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -31,17 +31,19 @@
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
-    /// Applies to open connections too.
+    /// Applies to open connections too; a shorter idle time only after the next answer on them.
     void set_limits(std::uint64_t body_bytes, std::chrono::milliseconds header_time,
                     std::chrono::milliseconds idle_time);
 
     /// Closes each connection after its next answer; idle connections and the listener stay open.
     void begin_closing();
 
-    /// Stops listening, waits for every open request to end, then calls the function from the event loop.
+    /// Accepts the connections that callers have already opened and stops listening, waits for every open request to
+    /// end, then calls the function from the event loop.
     void stop(std::function<void()> stopped);
 
 private:
+    void accept_backlog();
     void accept_pending_connections();
     void check_times();
     void report_stopped();
@@ -52,6 +54,7 @@
     QTimer timer_;
     std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
     std::function<void()> stopped_;
+    bool accepting_paused_ = false;
     bool stopping_ = false;
     bool closing_ = false;
     deferred_calls calls_;
--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -11,6 +11,12 @@
 /// Bytes that a caller may still send after its last answer before the connection is reset.
 constexpr std::size_t linger_bytes = std::size_t(4) * 1024 * 1024;
 
+/// The time that callers are told is two thirds of the idle time: they count from a later moment than this end, and
+/// their next request needs time to arrive.
+constexpr std::chrono::seconds stated_idle_time(std::chrono::milliseconds idle_time) {
+    return std::chrono::duration_cast<std::chrono::seconds>(idle_time * 2 / 3);
+}
+
 constexpr std::string_view outcome_not_run_line = "lovagetack-outcome: not-run\r\n";
 constexpr std::string_view outcome_unknown_line = "lovagetack-outcome: unknown\r\n";
 
@@ -18,7 +24,8 @@
 
 server_connection::server_connection(QTcpSocket* socket, handler& requests, const server_limits& limits,
                                      std::function<void(server_connection&)> on_closed)
-    : handler_(requests), limits_(limits), on_closed_(std::move(on_closed)), stream_(socket, *this) {}
+    : handler_(requests), limits_(limits), on_closed_(std::move(on_closed)), promised_idle_time_(limits.idle_time),
+      stream_(socket, *this) {}
 
 void server_connection::stream_readable() {
     process();
@@ -248,6 +255,7 @@
 void server_connection::start_answer(int status, std::string_view reason, std::string_view lines, body_framing framing,
                                      std::uint64_t length) {
     answer_started_ = true;
+    promised_idle_time_ = limits_.idle_time;
     const bool without_body = status == 204 || status == 304 || head_request_;
     answer_framing_ = framing;
     if (framing == body_framing::until_close || (framing == body_framing::chunked && is_http_1_0_)) {
@@ -269,6 +277,10 @@
     } else if (is_http_1_0_) {
         append_field(output_, "connection", "keep-alive");
     }
+    const auto idle_time = stated_idle_time(promised_idle_time_);
+    if (keep_alive_ && idle_time.count() > 0) {
+        append_field(output_, "keep-alive", "timeout=" + std::to_string(idle_time.count()));
+    }
     output_.append("\r\n");
     if (without_body) {
         answer_framing_ = body_framing::none;
@@ -364,6 +376,18 @@
     on_closed_(*this);
 }
 
+void server_connection::close() {
+    const auto self = shared_from_this();
+    if (phase_ == phase::closed) {
+        return;
+    }
+    if (request_open() || stream_.unsent() > 0) {
+        abort();
+        return;
+    }
+    close_unread();
+}
+
 void server_connection::finish() {
     finishing_ = true;
     last_progress_ = clock::now();
@@ -376,6 +400,11 @@
                  "lovagetack-outcome: not-run\r\nretry-after: 1\r\n");
 }
 
+std::chrono::milliseconds server_connection::longest_wait() const {
+    // A caller that has not heard of a shorter idle time may still send a request.
+    return finishing_ ? limits_.stop_grace : std::max(promised_idle_time_, limits_.idle_time);
+}
+
 void server_connection::check_time(clock::time_point now) {
     const auto self = shared_from_this();
     const auto sent = stream_.sent();
@@ -393,7 +422,7 @@
             return;
         }
         // A request that has already arrived is read first.
-        if (waited > (finishing_ ? limits_.stop_grace : limits_.idle_time) && !stream_.has_unread()) {
+        if (waited > longest_wait() && !stream_.has_unread()) {
             close_unread();
         }
         return;
--- a/source/http/server_connection.hpp
+++ b/source/http/server_connection.hpp
@@ -90,11 +90,14 @@
 
     /// Resets the connection at once; the handler is not called afterwards.
     void abort();
+    /// The same, but a complete answer that was passed to the kernel is still sent.
+    void close();
 
     /// Closes the connection after the next answer; it stays open until then.
     void announce_close() { close_announced_ = true; }
 
-    /// Closes the connection after the open request; without one, after it has been idle for stop_grace.
+    /// Closes the connection after the next answer that begins, or after it has been idle for stop_grace. An answer
+    /// that has begun did not announce the close, so the connection stays open after it.
     void finish();
     /// Refuses a connection above the limit of the server.
     void refuse_connection();
@@ -124,6 +127,8 @@
     void close_unread();
     void end_connection(std::string cause);
     [[nodiscard]] bool request_open() const;
+    /// How long the connection stays open between two requests.
+    [[nodiscard]] std::chrono::milliseconds longest_wait() const;
 
     handler& handler_;
     const server_limits& limits_;
@@ -138,6 +143,8 @@
     std::size_t discarded_ = 0;
     std::uint64_t last_sent_ = 0;
     clock::time_point last_progress_ = clock::now();
+    /// The idle time that was in force when the last answer began.
+    std::chrono::milliseconds promised_idle_time_;
     phase phase_ = phase::waiting;
     body_framing framing_ = body_framing::none;
     body_framing answer_framing_ = body_framing::none;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -5,6 +5,9 @@
 #include <string>
 #include <vector>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <QHostAddress>
 #include <QTcpServer>
 
@@ -27,6 +30,15 @@
     std::unique_ptr<http::server> server;
 };
 
+/// Sends one request and begins its answer, which the test continues on the connection `echo.handler.last`.
+void begin_answer(echo_server& echo, raw_socket& caller, std::string_view request, std::size_t size) {
+    echo.handler.withhold_answers = true;
+    caller.send(request);
+    test::run_until([&echo] { return echo.handler.last != nullptr; });
+    echo.handler.last->start_answer(200, "OK", "", http::body_framing::length, size);
+    echo.handler.withhold_answers = false;
+}
+
 /// Sends one request and returns all bytes received until the server closed the connection.
 std::string answer_until_close(const echo_server& echo, std::string_view request) {
     raw_socket caller(echo.server->port());
@@ -199,16 +211,85 @@
     connection->abort();
 }
 
+// Guards against an idle time that begins before the caller has its answer: the caller counts from the answer.
+TEST_CASE("the idle time of a connection begins at the end of its last answer") {
+    echo_server echo;
+    raw_socket caller(echo.server->port());
+    begin_answer(echo, caller, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", 2);
+    const auto& connection = echo.handler.last;
+    const auto started = http::server_connection::clock::now();
+    test::run_until(
+        [started] { return http::server_connection::clock::now() - started > std::chrono::milliseconds(20); });
+    const auto before_end = http::server_connection::clock::now();
+    connection->answer_body("ok");
+    connection->end_answer();
+    connection->check_time(http::server_connection::clock::now());
+    const auto idle_time = http::server_limits().idle_time;
+    connection->check_time(before_end + idle_time);
+    CHECK(echo.server->connections() == 1);
+    connection->check_time(http::server_connection::clock::now() + idle_time + std::chrono::milliseconds(1));
+    CHECK(echo.server->connections() == 0);
+}
+
+// Guards against requests that cross the close of many connections at once: a caller that has taken the longer idle
+// time into account may still reuse them.
+TEST_CASE("a shorter idle time holds for a connection only after its next answer, a longer one at once") {
+    echo_server echo;
+    raw_socket caller(echo.server->port());
+    const auto send_request = [&] {
+        caller.forget_received();
+        caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+        caller.wait_for("GET /a ");
+        echo.handler.last->check_time(http::server_connection::clock::now());
+    };
+    const auto is_open_after = [&](std::chrono::milliseconds time) {
+        echo.handler.last->check_time(http::server_connection::clock::now() + time);
+        return echo.server->connections() == 1;
+    };
+    const auto set_idle_time = [&](std::chrono::seconds time) {
+        echo.server->set_limits(1000, std::chrono::seconds(5), time);
+    };
+    set_idle_time(std::chrono::seconds(100));
+    send_request();
+    set_idle_time(std::chrono::seconds(50));
+    CHECK(is_open_after(std::chrono::seconds(90)));
+    SECTION("shorter") {
+        send_request();
+        CHECK_FALSE(is_open_after(std::chrono::seconds(51)));
+    }
+    SECTION("longer") {
+        set_idle_time(std::chrono::seconds(200));
+        CHECK(is_open_after(std::chrono::seconds(190)));
+        CHECK_FALSE(is_open_after(std::chrono::seconds(201)));
+    }
+}
+
+// Guards against callers that reuse a connection until the moment at which the server closes it.
+TEST_CASE("an answer that keeps the connection open states a shorter time than the connection stays open") {
+    http::server_limits limits;
+    limits.idle_time = std::chrono::seconds(15);
+    echo_server echo(limits);
+    raw_socket caller(echo.server->port());
+    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    caller.wait_for("GET /a ");
+    CHECK(test::count_of(caller.received(), "keep-alive: timeout=10\r\n") == 1);
+    CHECK(answer_until_close(echo, "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").find("keep-alive") ==
+          std::string::npos);
+    SECTION("the time is not stated if it is below a second") {
+        echo.server->set_limits(1000, std::chrono::seconds(5), std::chrono::seconds(1));
+        caller.forget_received();
+        caller.send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+        caller.wait_for("GET /b ");
+        CHECK(caller.received().find("keep-alive") == std::string::npos);
+    }
+}
+
 // Guards against a close that the caller cannot know of: the answer said that the connection stays open.
 TEST_CASE("a request after an answer that was begun before the server stopped is answered") {
     echo_server echo;
-    echo.handler.withhold_answers = true;
     raw_socket caller(echo.server->port());
-    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
-    test::run_until([&echo] { return echo.handler.last != nullptr; });
-    echo.handler.last->start_answer(200, "OK", "", http::body_framing::length, 2);
+    begin_answer(echo, caller, "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", 2);
     echo.server->stop([] {});
-    echo.handler.withhold_answers = false;
     echo.handler.last->answer_body("ok");
     echo.handler.last->end_answer();
     caller.wait_for("ok");
@@ -219,16 +300,29 @@
     caller.wait_for_close();
 }
 
+// Guards against a listener that closes with connections in its backlog: the kernel resets them, and the requests on
+// them get no answer.
+TEST_CASE("a request on a connection that was not accepted before the server stops is answered") {
+    echo_server echo;
+    raw_socket caller(echo.server->port());
+    caller.wait_until_connected();
+    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(echo.server->connections() == 0);
+    bool stopped = false;
+    echo.server->stop([&stopped] { stopped = true; });
+    caller.wait_for_close();
+    CHECK(caller.received().find("GET /a ") != std::string::npos);
+    CHECK(caller.received().find("connection: close\r\n") != std::string::npos);
+    test::run_until([&stopped] { return stopped; });
+}
+
 /// An answer to a caller that does not read it for a while.
 struct slow_answer {
     explicit slow_answer(std::string_view request, std::size_t answer_size, const http::server_limits& limits = {})
         : echo(limits), size(answer_size) {
-        echo.handler.withhold_answers = true;
         caller = std::make_unique<raw_socket>(echo.server->port());
-        caller->send(request);
-        test::run_until([this] { return echo.handler.last != nullptr; });
+        begin_answer(echo, *caller, request, size);
         caller->stop_reading();
-        echo.handler.last->start_answer(200, "OK", "", http::body_framing::length, size);
     }
 
     void end() {
@@ -265,6 +359,16 @@
     CHECK(answer.received_after(std::chrono::milliseconds(2500)) > answer.size);
 }
 
+// Guards against a reset at the end of the process: it discards what the kernel has not sent yet.
+TEST_CASE("the end of the server does not discard a whole answer in the kernel's buffer") {
+    slow_answer answer("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", std::size_t(3) * 1024 * 1024);
+    answer.end();
+    REQUIRE(answer.echo.handler.last->unsent() == 0);
+    answer.echo.handler.last = nullptr;
+    answer.echo.server.reset();
+    CHECK(answer.received_after(std::chrono::milliseconds(100)) > answer.size);
+}
+
 // Guards against a reset at the close of an idle connection: it discards what the kernel has not sent yet.
 TEST_CASE("the close of an idle connection does not discard an answer in the kernel's buffer") {
     http::server_limits limits;
@@ -275,6 +379,50 @@
     CHECK(answer.received_after(std::chrono::milliseconds(1000)) > answer.size);
 }
 
+/// Lets the process open no more files for its lifetime.
+class file_limit {
+public:
+    file_limit() {
+        ::getrlimit(RLIMIT_NOFILE, &before_);
+        const int lowest_free = ::dup(0);
+        ::close(lowest_free);
+        const rlimit none_left{static_cast<rlim_t>(lowest_free), before_.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &none_left);
+    }
+    file_limit(const file_limit&) = delete;
+    file_limit& operator=(const file_limit&) = delete;
+    ~file_limit() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+
+private:
+    rlimit before_{};
+};
+
+// Guards against a listener that accepts nothing more after one failure, so that all requests on new connections wait
+// unread.
+TEST_CASE("connections that could not be accepted for lack of file descriptors are accepted later") {
+    echo_server echo;
+    raw_socket caller(echo.server->port());
+    caller.wait_until_connected();
+    caller.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    {
+        const file_limit limit;
+        test::settle();
+        REQUIRE(echo.server->connections() == 0);
+    }
+    SECTION("while the server listens") {
+        caller.wait_for("GET /a ");
+    }
+    SECTION("when it stops before it has tried again") {
+        bool stopped = false;
+        echo.server->stop([&stopped] { stopped = true; });
+        caller.wait_for("GET /a ");
+        // The next check of times must not resume the closed listener.
+        const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+        test::run_until([until] { return std::chrono::steady_clock::now() > until; });
+        CHECK(stopped);
+    }
+}
+
 // Guards against more connections than the instance has memory for, and against closed connections that still count
 // towards the limit.
 TEST_CASE("a connection above the limit is refused until another one closes") {
