routing: a request is not refused as not run in the step that sends it

A request that is not idempotent could be answered 503, which promises that it has not run, although it had been written to a backend server. It happened if its time was over when it arrived, for example as its body took long to arrive: one step of the routing decisions sent it and then, finding it overdue, cancelled the attempt. The effects are executed in this order, and a kept connection is written to at once; the report that it was written came too late for the answer. A slot granted by a dispatcher after the deadline is the same case.

A request whose time is over when it arrives is now refused without being sent, and an attempt that is cancelled at the moment at which it was sent counts as one that may have run.

Evidence: two new tests. The first failed before (the request is sent); the second was written after the change. The case of a granted slot has no test of its own.

--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -265,7 +265,9 @@
 /// Cancels the attempt of a request that is at a backend server.
 void cancel_current_attempt(step& step, exchange_id id) {
     auto& exchange = step.state.exchanges.at(id);
-    exchange.may_have_run = exchange.may_have_run || exchange.sending;
+    // The effect that sends an attempt of this step is executed before the one that cancels it.
+    const bool sent_in_this_step = exchange.attempt_at == step.now;
+    exchange.may_have_run = exchange.may_have_run || exchange.sending || sent_in_this_step;
     const auto server = step.state.servers.find(exchange.server);
     if (server != step.state.servers.end()) {
         --server->second.outstanding;
@@ -322,6 +324,10 @@
     exchange.expires_at = event.arrived + longest_wait;
     exchange.service = choose_target(step, *route);
     state.deadlines.insert({exchange.expires_at, id});
+    if (exchange.expires_at <= step.now) {
+        answer(step, id, result_code::request_deadline_passed, spread_retry_after(step));
+        return;
+    }
     if (is_quarantined(state, event.fingerprint)) {
         answer(step, id, result_code::request_quarantined, quarantine_time_left(step, event.fingerprint));
         return;
--- a/tests/routing/requests_test.cpp
+++ b/tests/routing/requests_test.cpp
@@ -189,6 +189,26 @@
     REQUIRE(instance.answers(waiting).front().retry_after > 0ms);
 }
 
+// Guards against a request that is sent and refused as not run in the same step: its bytes may have been written.
+TEST_CASE("a request whose time is over when it arrives is refused without being sent") {
+    instance instance;
+    const auto id = instance.request("/pay/1", 10ms);
+    REQUIRE(instance.answers(id).size() == 1);
+    CHECK(instance.answers(id).front().status == 503);
+    CHECK(instance.sent(id).empty());
+    CHECK(instance.state().exchanges.empty());
+}
+
+// Guards against "not run" for an attempt whose bytes are written before the report of it can be processed.
+TEST_CASE("a request that is cancelled at the moment at which it was sent may have run") {
+    instance instance;
+    const auto id = instance.request("/pay/1");
+    REQUIRE(instance.sent(id).size() == 1);
+    instance.process_event(shutdown_ends{});
+    REQUIRE(instance.answers(id).size() == 1);
+    CHECK(instance.answers(id).front().status == 502);
+}
+
 TEST_CASE("an answer that has started is not replaced at the deadline") {
     instance instance;
     const auto id = instance.request("/get/1");
@@ -347,6 +367,7 @@
     instance.process_event(attempt_sent{answered, instance.sent(answered).back().attempt});
     instance.process_event(answer_forwarding_started{answered, instance.sent(answered).back().attempt});
     instance.process_event(shutdown_begun{});
+    instance.advance_time(10ms);
     instance.process_event(shutdown_ends{});
     REQUIRE(instance.answers(sent).size() == 1);
     CHECK(instance.answers(sent).front().status == 502);
