platform: what servers state of themselves in their answers is decoded

Servers may add `Server-Leaving: 1` to any answer and `Retry-After` to a 503. Both were passed on to the caller and read by nobody, so an instance went on sending to a server that had told it not to.

The dialect decodes both once into fields of the answer's header, and the attempt reports them as an event when the head arrives: a long answer goes to the caller from its head on, so a word that counted only at the end of the attempt would come too late. What another server at the address states is not attributed to the one that was asked.

Stated meanings of bad values: Server-Leaving counts only as 1; Retry-After only with 503 and as seconds with an optional fraction, rounded up to milliseconds; a field that is repeated with another value is ignored; a pause above 30 s is 30 s, so that one odd answer takes no server out of use for good.

--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -83,6 +83,10 @@
         framing_ = has_body ? http::body_framing::until_close : http::body_framing::none;
     }
     length_ = length.value_or(0);
+    if (!header_.signals.empty() && !is_other_server()) {
+        // Last, since this attempt may be dropped during the call.
+        owner_.signals_received({effect_.exchange, effect_.attempt, header_.signals});
+    }
 }
 
 void attempt::start_forwarding() {
@@ -129,11 +133,14 @@
     }
 }
 
+bool attempt::is_other_server() const {
+    return !header_.server.empty() && header_.server != effect_.server.value();
+}
+
 routing::attempt_outcome attempt::outcome_if_complete() const {
     using routing::attempt_outcome;
-    const bool other_server = !header_.server.empty() && header_.server != effect_.server.value();
     if (answer_.status == misdirected) {
-        return other_server ? attempt_outcome::wrong_server : attempt_outcome::no_key;
+        return is_other_server() ? attempt_outcome::wrong_server : attempt_outcome::no_key;
     }
     if (header_.not_run) {
         return attempt_outcome::not_run;
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -54,6 +54,8 @@
         virtual ~owner() = default;
 
         virtual void attempt_sent(const routing::attempt_sent& event) = 0;
+        /// The owner may drop the attempt during this call.
+        virtual void signals_received(const routing::signals_received& event) = 0;
         virtual void answer_forwarding_started(const routing::answer_forwarding_started& event) = 0;
         /// The attempt ended. It may be destroyed only after control has returned to the event loop.
         virtual void attempt_finished(exchange& exchange, const routing::attempt_ended& event) = 0;
@@ -90,6 +92,8 @@
     void answer_failed(http::client_connection::failure reason) override;
     void request_writable() override {}
 
+    /// The header names another server than the one that the request was for.
+    [[nodiscard]] bool is_other_server() const;
     /// Outcome by status and header; holds if the answer arrives completely.
     [[nodiscard]] routing::attempt_outcome outcome_if_complete() const;
     void start_forwarding();
--- a/source/gateway/ports.hpp
+++ b/source/gateway/ports.hpp
@@ -86,6 +86,7 @@
     /// The answer has a content encoding, so its body differs from what the server's service produced.
     bool encoded = false;
     std::optional<routing::reported_load> load;
+    routing::server_signals signals;
 };
 
 /// Reads and writes the header fields of requests and answers under the platform's names.
--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -132,6 +132,10 @@
     on_event_(event);
 }
 
+void relay::signals_received(const routing::signals_received& event) {
+    on_event_(event);
+}
+
 void relay::answer_forwarding_started(const routing::answer_forwarding_started& event) {
     on_event_(event);
 }
--- a/source/gateway/relay.hpp
+++ b/source/gateway/relay.hpp
@@ -60,6 +60,7 @@
     void bytes_discarded(http::server_connection& connection, std::size_t bytes) override;
 
     void attempt_sent(const routing::attempt_sent& event) override;
+    void signals_received(const routing::signals_received& event) override;
     void answer_forwarding_started(const routing::answer_forwarding_started& event) override;
     void attempt_finished(exchange& exchange, const routing::attempt_ended& event) override;
 
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -304,6 +304,18 @@
     std::vector<requested_keys> keys;
 };
 
+/// What a backend server states of itself in the head of an answer.
+struct server_signals {
+    /// This run of the server is ending and is to get no more requests.
+    bool leaving = false;
+    /// It wants no requests from this instance for this long; 0 if it states nothing. At most longest_stated_pause.
+    std::chrono::milliseconds pause{0};
+    /// Fields that were ignored or bounded, and why; empty if there are none. For the log.
+    std::string faults;
+
+    [[nodiscard]] bool empty() const { return !leaving && pause.count() == 0 && faults.empty(); }
+};
+
 // Outcomes of attempts.
 
 enum class attempt_outcome : std::uint8_t {
@@ -474,6 +486,14 @@
     model::attempt_id attempt;
 };
 
+/// The head of the server's answer has arrived and states something of the server. A long answer goes to the caller
+/// from its head on, so this does not wait for the end of the attempt.
+struct signals_received {
+    exchange_id exchange = 0;
+    model::attempt_id attempt;
+    server_signals signals;
+};
+
 /// A part of the server's answer has gone to the caller, so that no other answer can.
 struct answer_forwarding_started {
     exchange_id exchange = 0;
@@ -495,14 +515,15 @@
 /// Shutdown of the instance begins: it is no longer ready, and gives up the keeper's lease.
 struct shutdown_begun {};
 
-using event = std::variant<store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected,
-                           evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
-                           assignment_learned, assignment_changed, assignments_complete, instance_updated,
-                           instance_removed, quarantine_learned, quarantine_removed, request_strike,
-                           quarantine_objection, server_probed, lease_read, rows_written, assignments_read, grant_ended,
-                           release_ended, renewal_orders, renewal_report, table_updated, slot_request, slot_answer,
-                           slot_release, slot_report, reader_heartbeat, table_change_received, table_changes_wanted,
-                           table_changes_unknown, instance_load, request_arrived, caller_left, connection_dropped,
-                           attempt_sent, answer_forwarding_started, attempt_ended, ticked, shutdown_begun>;
+using event =
+    std::variant<store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected,
+                 evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
+                 assignment_learned, assignment_changed, assignments_complete, instance_updated, instance_removed,
+                 quarantine_learned, quarantine_removed, request_strike, quarantine_objection, server_probed,
+                 lease_read, rows_written, assignments_read, grant_ended, release_ended, renewal_orders, renewal_report,
+                 table_updated, slot_request, slot_answer, slot_release, slot_report, reader_heartbeat,
+                 table_change_received, table_changes_wanted, table_changes_unknown, instance_load, request_arrived,
+                 caller_left, connection_dropped, attempt_sent, signals_received, answer_forwarding_started,
+                 attempt_ended, ticked, shutdown_begun>;
 
 } // namespace lovagetack::routing
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -60,6 +60,10 @@
 /// A server that fails requests is tried again after this time.
 inline constexpr std::chrono::microseconds failing_pause = 400ms;
 
+/// Longest pause that an answer of a server can cause: one odd value costs no more than this, and a server that goes on
+/// asking for a pause is asked again with one request after each.
+inline constexpr std::chrono::milliseconds longest_stated_pause = 30s;
+
 /// Weight of a new observation in the moving averages.
 inline constexpr double average_weight = 0.15;
 /// The same in the average over all servers of a service.
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -14,6 +14,7 @@
 #include "routing/renewing.hpp"
 #include "routing/requests.hpp"
 #include "routing/servers.hpp"
+#include "routing/signals.hpp"
 #include "routing/step.hpp"
 
 namespace lovagetack::routing {
@@ -195,6 +196,10 @@
     mark_request_sent(step, event);
 }
 
+void on(step& step, const signals_received& event) {
+    note_signals(step, event);
+}
+
 void on(step& step, const answer_forwarding_started& event) {
     mark_answer_forwarding_started(step, event);
 }
@@ -225,10 +230,10 @@
         return (std::holds_alternative<Events>(event) || ...);
     };
     return !is_any_of(
-        std::type_identity<std::variant<request_arrived, caller_left, connection_dropped, attempt_sent,
-                                        answer_forwarding_started, attempt_ended, instance_load, renewal_orders,
-                                        renewal_report, reader_heartbeat, slot_request, slot_answer, slot_release,
-                                        slot_report, request_strike, quarantine_objection, server_probed>>());
+        std::type_identity<std::variant<
+            request_arrived, caller_left, connection_dropped, attempt_sent, signals_received, answer_forwarding_started,
+            attempt_ended, instance_load, renewal_orders, renewal_report, reader_heartbeat, slot_request, slot_answer,
+            slot_release, slot_report, request_strike, quarantine_objection, server_probed>>());
 }
 
 } // namespace
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,6 +33,9 @@
         if (const auto* arrived = std::get_if<routing::request_arrived>(&event)) {
             send(arrived->exchange);
         }
+        if (std::holds_alternative<routing::signals_received>(event) && on_signals) {
+            on_signals();
+        }
     }
 
     void send(routing::exchange_id exchange) {
@@ -70,6 +74,8 @@
     std::uint16_t port = 0;
     std::uint64_t attempts = 0;
     std::vector<routing::event> events;
+    /// Called when an answer has stated something of its server.
+    std::function<void()> on_signals;
 };
 
 const std::string signed_head = "HTTP/1.1 200 OK\r\nLovagetack-Request-Id: abc\r\nLovagetack-Response-Signature: s\r\n";
@@ -109,6 +115,72 @@
     }
 }
 
+// Guards against an instance that learns that a server leaves only at the end of a long answer, although the caller has
+// had the head of that answer all the while.
+TEST_CASE("what a server states in the head of an answer is reported at once") {
+    fixture test;
+    test.send_caller_request();
+    const auto received = [&test]() -> const routing::signals_received* {
+        for (const auto& event : test.events) {
+            if (const auto* found = std::get_if<routing::signals_received>(&event)) {
+                return found;
+            }
+        }
+        return nullptr;
+    };
+    auto& server = test.server->connection(0);
+    SECTION("in a long answer that has not ended") {
+        server.send(signed_head + "Server-Leaving: 1\r\nContent-Length: 90000\r\n\r\n" + std::string(50000, 'x'));
+        test.caller->wait_for("xxxx");
+        REQUIRE(received() != nullptr);
+        CHECK(received()->exchange == 1);
+        CHECK(received()->attempt == model::attempt_id(1));
+        CHECK(received()->signals.leaving);
+        CHECK(test.ended() == nullptr);
+        // Callers are told as the server has told it.
+        CHECK(test.caller->received().find("Server-Leaving: 1\r\n") != std::string::npos);
+    }
+    SECTION("in a refusal") {
+        server.send("HTTP/1.1 503 Service Unavailable\r\nLovagetack-Request-Id: abc\r\nLovagetack-Not-Executed: 1\r\n"
+                    "Lovagetack-Instance-Id: i-1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n");
+        CHECK(test.outcome() == attempt_outcome::not_run);
+        REQUIRE(received() != nullptr);
+        CHECK(received()->signals.pause == std::chrono::seconds(3));
+    }
+    SECTION("but not what another server at the address states of itself") {
+        server.send("HTTP/1.1 421 Misdirected Request\r\nLovagetack-Request-Id: abc\r\nServer-Leaving: 1\r\n"
+                    "Lovagetack-Instance-Id: i-2\r\nContent-Length: 0\r\n\r\n");
+        CHECK(test.outcome() == attempt_outcome::wrong_server);
+        CHECK(received() == nullptr);
+    }
+    SECTION("nor what an answer to an earlier request states") {
+        server.send("HTTP/1.1 503 Service Unavailable\r\nLovagetack-Request-Id: earlier\r\nRetry-After: 3\r\n"
+                    "Content-Length: 0\r\n\r\n" +
+                    signed_head + "Content-Length: 0\r\n\r\n");
+        CHECK(test.outcome() == attempt_outcome::delivered);
+        CHECK(received() == nullptr);
+    }
+}
+
+// Guards against the use of an attempt that is dropped while it reports the head of its answer.
+TEST_CASE("an attempt may be dropped when the head of its answer is reported") {
+    fixture test;
+    const auto status = GENERATE(as<std::string>(), "200 OK", "503 Service Unavailable");
+    test.on_signals = [&test] {
+        test.relay->execute(routing::cancel_attempt{1, model::attempt_id(1)});
+        test.relay->execute(
+            routing::answer_caller{1, 504, base::result_code::request_deadline_passed, std::chrono::milliseconds(0)});
+    };
+    test.send_caller_request();
+    test.server->connection(0).send("HTTP/1.1 " + status +
+                                    "\r\nLovagetack-Request-Id: abc\r\nServer-Leaving: 1\r\nContent-Length: " +
+                                    (status == "200 OK" ? "3\r\n\r\nabc" : "0\r\n\r\n"));
+    test.caller->wait_for("request_deadline_passed");
+    test::settle();
+    CHECK(test.ended() == nullptr);
+    CHECK(test.relay->open_exchanges() == 0);
+}
+
 // Guards against memory that grows while a server in trouble sends bytes without end.
 TEST_CASE("bytes without end that are no answer end the attempt, and nothing of them reaches the caller") {
     fixture test;
