routing: an instance goes by a server's own word that it leaves

The word now counts from the head of the answer that has it. It belongs to one run of the server, id and start: a late answer of a former run says nothing of the next, and a new start in the registry ends it. Other servers are chosen at once, whatever the store says; requests of which nothing was sent yet are withdrawn and placed again. An owner of keys is sent their requests for 1.4 s more, as for a leaving owner in the registry, and then they are refused; the keeper that hears the word itself plans without the server. A word is forgotten 60 s after it was last heard if the registry, from a store that has answered for as long, shows the server as ready: a server that leaves has ended or is out of the registry by then.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.hpp"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 #include <variant>
@@ -238,6 +239,9 @@
     gauge("lovagetack_dispatcher_queue", {}, routing::queued_asks(state_));
     gauge("lovagetack_quarantined_requests", {}, state_.quarantine.requests.size());
     gauge("lovagetack_struck_requests", {}, state_.quarantine.struck.size());
+    gauge("lovagetack_servers_stating_leaving", {},
+          std::count_if(state_.stating_servers.begin(), state_.stating_servers.end(),
+                        [this](const auto& id) { return state_.servers.at(id).stated.leaving_since.has_value(); }));
     for (const auto table : routing::followed_tables) {
         gauge("lovagetack_table_version", {{"table", std::string(routing::name_of(table))}},
               number_of(routing::table_version(state_, table)));
--- a/source/routing/exchanges.cpp
+++ b/source/routing/exchanges.cpp
@@ -73,6 +73,7 @@
     exchange.queued_at = {};
     exchange.phase = exchange_phase::sent;
     exchange.server = server.registration.id;
+    exchange.server_born = server.registration.born;
     exchange.attempt = model::attempt_id(++step.state.last_attempt);
     exchange.attempt_at = step.now;
     exchange.sending = false;
--- a/source/routing/keeper_plan.cpp
+++ b/source/routing/keeper_plan.cpp
@@ -24,7 +24,7 @@
             const auto time = static_cast<double>(usual_time(step.state, server).count());
             usual += time;
             found.push_back({id, server.registration.born, time});
-        } else if (server.registered && !server.leaving_since &&
+        } else if (server.registered && !is_leaving(server) &&
                    !step.state.evacuated.contains(server.registration.data_centre)) {
             cold.push_back({id, server.registration.born, 1});
         }
@@ -57,7 +57,7 @@
     if (server == nullptr) {
         return true;
     }
-    return !server->registered || server->leaving_since || server->evacuated_since || is_lost(step, range.owner);
+    return !server->registered || is_leaving(*server) || server->evacuated_since || is_lost(step, range.owner);
 }
 
 /// Whether all servers that start at the same time have probably registered.
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -60,6 +60,9 @@
 /// A server that fails requests is tried again after this time.
 inline constexpr std::chrono::microseconds failing_pause = 400ms;
 
+/// How long a server's word that it leaves is kept after it was last heard, if the registry shows the server as ready
+/// all the while. Servers that leave have ended or are out of the registry long before.
+inline constexpr std::chrono::microseconds leaving_memory = 60s;
 /// Longest pause that an answer of a server can cause: one odd value costs no more than this, and a server that goes on
 /// asking for a pause is asked again with one request after each.
 inline constexpr std::chrono::milliseconds longest_stated_pause = 30s;
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -212,6 +212,7 @@
     remove_missing(step);
     end_missing_evacuations(step);
     remove_silent_peers(step);
+    run_statements(step);
     run_renewals(step);
     run_readers(step);
     run_quarantine(step);
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -351,6 +351,28 @@
     place_at_any_server(step, id);
 }
 
+void place_unsent_elsewhere(step& step, const model::backend_server_id& server) {
+    std::vector<exchange_id> unsent;
+    for (const auto& [id, exchange] : step.state.exchanges) {
+        // A leaving owner still serves its keys for some time.
+        if (exchange.phase == exchange_phase::sent && exchange.server == server && !exchange.sending &&
+            !divided_by_key(step.state, exchange.service)) {
+            unsent.push_back(id);
+        }
+    }
+    for (const auto id : unsent) {
+        auto& exchange = step.state.exchanges.at(id);
+        step.add(cancel_attempt{id, exchange.attempt});
+        --step.state.servers.at(server).outstanding;
+        step.state.load_changed = true;
+        release_ask(step, exchange, std::nullopt);
+        exchange.phase = exchange_phase::queued;
+        --exchange.attempts;
+        ++exchange.attempts_left;
+        place(step, id);
+    }
+}
+
 bool owns_key(const step& step, const exchange& exchange, const server_record& server) {
     const auto service = step.state.services.find(exchange.service);
     if (service == step.state.services.end() || !exchange.request.key) {
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -7,6 +7,7 @@
 #include "routing/groups.hpp"
 #include "routing/log_fields.hpp"
 #include "routing/quarantine.hpp"
+#include "routing/signals.hpp"
 
 namespace lovagetack::routing {
 namespace {
@@ -109,6 +110,7 @@
     step.state.missing_servers.erase(server.id);
     if (!is_new && record.registration.born != server.born) {
         note_server_ended(step, server.id);
+        forget_statements(step, record);
     }
     const bool needs_reset = is_new || !record.registered || record.registration.born != server.born;
     if (needs_reset) {
@@ -260,6 +262,10 @@
     }
 }
 
+bool is_leaving(const server_record& server) {
+    return server.leaving_since || server.stated.leaving_since;
+}
+
 bool is_cold(const server_record& server, base::boot_time now) {
     return server.cold_until > now;
 }
@@ -269,19 +275,22 @@
 }
 
 bool may_own(const state& state, const server_record& server, base::boot_time now) {
-    return server.registered && !server.leaving_since && !state.evacuated.contains(server.registration.data_centre) &&
+    return server.registered && !is_leaving(server) && !state.evacuated.contains(server.registration.data_centre) &&
            !is_cold(server, now);
 }
 
 bool takes_new_work(const state& state, const server_record& server, base::boot_time now) {
-    return server.registered && !server.leaving_since && !state.evacuated.contains(server.registration.data_centre) &&
+    return server.registered && !is_leaving(server) && !state.evacuated.contains(server.registration.data_centre) &&
            server.paused_until <= now;
 }
 
 bool serves_own_keys(const state& state, const server_record& server, base::boot_time now) {
     const auto leaving_time =
         state.instances.size() > small_deployment ? late_leaving_service_time : leaving_service_time;
+    // This instance has the server's own word without delay.
+    const auto& stated = server.stated.leaving_since;
     return (!server.leaving_since || now - *server.leaving_since < leaving_time) &&
+           (!stated || now - *stated < leaving_service_time) &&
            (!server.evacuated_since || now - *server.evacuated_since < evacuated_service_time);
 }
 
--- a/source/routing/servers.hpp
+++ b/source/routing/servers.hpp
@@ -29,6 +29,9 @@
 /// Ends evacuations that the operators have not written again after a restoration of the store.
 void end_missing_evacuations(step& step);
 
+/// Whether the server leaves, by the registry or by its own word in an answer.
+[[nodiscard]] bool is_leaving(const server_record& server);
+
 [[nodiscard]] bool is_cold(const server_record& server, base::boot_time now);
 
 /// Whether the server may own keys: registered, not leaving, not evacuated and not cold.
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -38,6 +38,13 @@
     std::chrono::microseconds sum{0};
 };
 
+/// What a backend server has stated of its present run in its answers.
+struct server_statements {
+    /// When it was first and last heard to say that it leaves.
+    std::optional<base::boot_time> leaving_since;
+    base::boot_time leaving_heard_at;
+};
+
 /// What this instance knows of one backend server.
 struct server_record {
     backend_server registration;
@@ -48,6 +55,7 @@
     std::optional<base::boot_time> leaving_since;
     std::optional<base::boot_time> evacuated_since;
     base::boot_time cold_until;
+    server_statements stated;
 
     /// Requests in progress at the server: those of this instance, and those that the other instances report.
     std::int32_t outstanding = 0;
@@ -140,6 +148,7 @@
     /// It is not sent before this time.
     base::boot_time not_before;
     model::backend_server_id server;
+    std::uint64_t server_born = 0;
     model::attempt_id attempt;
     base::boot_time attempt_at;
     std::int32_t attempts = 0;
@@ -471,6 +480,8 @@
     base::boot_time store_reached_since;
     std::set<model::backend_server_id> missing_servers;
     std::map<model::backend_server_id, server_record> servers;
+    /// Servers whose statements are in force; few or none, so that the others cost nothing.
+    std::set<model::backend_server_id> stating_servers;
     std::map<model::service_id, service_record> services;
     std::map<model::instance_id, instance_record> instances;
     std::map<model::instance_id, peer_record> peers;
