routing: an instance keeps to the pause that a server asks for

A server that turns a request away with 503 may state with Retry-After for how long it wants nothing from that instance.

The pause is kept for each server, on the boot clock. Requests and repeats are not sent to the server, a request of which nothing was sent yet is withdrawn, and the probe of the quarantine is left out of the effects. It ends up to a quarter and at most 1 s later than stated, at random, so that the instances that were turned away together do not return together. After it the server gets one request, and twice as many at once with each that it answers. If all servers that could run a request pause, or the owner of its key does, it is refused at once, without a repeat, with the earliest end as Retry-After. A pause ends with the run of the server that asked for it.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "routing/limits.hpp"
 #include "routing/readers.hpp"
 #include "routing/reduce.hpp"
+#include "routing/signals.hpp"
 #include "routing/store_version.hpp"
 #include "routing/table_copy.hpp"
 
@@ -239,6 +240,11 @@
     gauge("lovagetack_dispatcher_queue", {}, routing::queued_asks(state_));
     gauge("lovagetack_quarantined_requests", {}, state_.quarantine.requests.size());
     gauge("lovagetack_struck_requests", {}, state_.quarantine.struck.size());
+    gauge("lovagetack_server_pauses_total", {}, state_.stated_pauses);
+    gauge("lovagetack_servers_pausing", {},
+          std::count_if(state_.stating_servers.begin(), state_.stating_servers.end(), [this](const auto& id) {
+              return routing::is_pausing(state_.servers.at(id), base::boot_clock::now());
+          }));
     gauge("lovagetack_servers_stating_leaving", {},
           std::count_if(state_.stating_servers.begin(), state_.stating_servers.end(),
                         [this](const auto& id) { return state_.servers.at(id).stated.leaving_since.has_value(); }));
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -281,6 +281,10 @@
     /// Answers since the last message that showed the duration of work there, and the mean of these durations.
     std::int32_t observations = 0;
     std::chrono::microseconds observed{0};
+    /// The run of the server, by its start, that has told the sender that it leaves, and the age of its word; 0 if none
+    /// has.
+    std::uint64_t leaving_born = 0;
+    std::chrono::milliseconds leaving_age{0};
 };
 
 /// Keys of one service that were requested at an instance since its last message.
@@ -408,6 +412,9 @@
     int status = 0;
     std::chrono::milliseconds elapsed{0};
     std::optional<reported_load> load;
+    /// What the run of the server that started at `server_born` stated in the answer.
+    server_signals signals;
+    std::uint64_t server_born = 0;
 };
 
 /// Gives a slot back, or takes a request out of the queue.
--- a/source/routing/exchanges.cpp
+++ b/source/routing/exchanges.cpp
@@ -4,6 +4,7 @@
 
 #include "routing/asking.hpp"
 #include "routing/log_fields.hpp"
+#include "routing/signals.hpp"
 
 namespace lovagetack::routing {
 
@@ -14,6 +15,18 @@
     return shortest_retry_after + std::chrono::milliseconds(step.state.random() % spread);
 }
 
+std::chrono::milliseconds retry_after_for(step& step, const exchange& exchange) {
+    return stated_wait(step, exchange) + spread_retry_after(step);
+}
+
+void end_outstanding(step& step, server_record& server, const exchange& exchange) {
+    --server.outstanding;
+    step.state.load_changed = true;
+    if (server.stated.sent_after_pause > 0 && exchange.attempt_at >= server.stated.paused_until) {
+        --server.stated.sent_after_pause;
+    }
+}
+
 service_record& service_of(step& step, const exchange& exchange) {
     return step.state.services[exchange.service];
 }
@@ -76,12 +89,16 @@
     exchange.server_born = server.registration.born;
     exchange.attempt = model::attempt_id(++step.state.last_attempt);
     exchange.attempt_at = step.now;
+    exchange.signals = {};
     exchange.sending = false;
     exchange.answer_stored = false;
     ++exchange.attempts;
     --exchange.attempts_left;
     exchange.tried_servers.push_back(exchange.server);
     ++server.outstanding;
+    if (server.stated.most_after_pause > 0) {
+        ++server.stated.sent_after_pause;
+    }
     step.state.load_changed = true;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.expires_at - step.now);
     step.add(send_request{id, exchange.attempt, exchange.server, server.registration.address,
--- a/source/routing/exchanges.hpp
+++ b/source/routing/exchanges.hpp
@@ -15,6 +15,12 @@
 /// A time after which a refused caller may return; random, so that callers do not return together.
 [[nodiscard]] std::chrono::milliseconds spread_retry_after(step& step);
 
+/// The same for the caller of a request, not before a server that could run it wants requests again.
+[[nodiscard]] std::chrono::milliseconds retry_after_for(step& step, const exchange& exchange);
+
+/// Counts the exchange no longer among the requests in progress at the server.
+void end_outstanding(step& step, server_record& server, const exchange& exchange);
+
 /// Latest time for an answer, counted from the request's arrival; a request that is expected to be answered later is
 /// refused.
 [[nodiscard]] std::chrono::microseconds latest_answer_time(const exchange& exchange);
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -66,6 +66,10 @@
 /// Longest pause that an answer of a server can cause: one odd value costs no more than this, and a server that goes on
 /// asking for a pause is asked again with one request after each.
 inline constexpr std::chrono::milliseconds longest_stated_pause = 30s;
+/// A pause is longer by up to this part of it, and by this time at most, so that the instances that a server has turned
+/// away together do not return together.
+inline constexpr std::int64_t pause_spread_percent = 25;
+inline constexpr std::chrono::microseconds longest_pause_spread = 1s;
 
 /// Weight of a new observation in the moving averages.
 inline constexpr double average_weight = 0.15;
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -237,6 +237,21 @@
             slot_release, slot_report, request_strike, quarantine_objection, server_probed>>());
 }
 
+/// A server that has asked for a pause is not probed either.
+void withhold_probes(step& step) {
+    if (step.state.stating_servers.empty()) {
+        return;
+    }
+    std::erase_if(step.effects, [&step](const effect& effect) {
+        const auto* const probe = std::get_if<probe_server>(&effect);
+        if (probe == nullptr) {
+            return false;
+        }
+        const auto server = step.state.servers.find(probe->server);
+        return server != step.state.servers.end() && is_pausing(server->second, step.now);
+    });
+}
+
 } // namespace
 
 bool is_ready(const state& state) {
@@ -252,6 +267,7 @@
     }
     send_queued_requests(step);
     send_load_if_due(step);
+    withhold_probes(step);
     return std::move(step.effects);
 }
 
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -9,6 +9,7 @@
 #include "routing/peers.hpp"
 #include "routing/quarantine.hpp"
 #include "routing/servers.hpp"
+#include "routing/signals.hpp"
 
 namespace lovagetack::routing {
 namespace {
@@ -104,7 +105,7 @@
     double best_score = 0;
     for (auto& [id, server] : step.state.servers) {
         if (server.registration.service != exchange.service || !takes_new_work(step.state, server, step.now) ||
-            !has_room(step.state, server, step.now) ||
+            !has_room(step.state, server, step.now) || !accepts_from_here(server, step.now) ||
             std::find(exchange.tried_servers.begin(), exchange.tried_servers.end(), id) !=
                 exchange.tried_servers.end()) {
             continue;
@@ -135,7 +136,7 @@
 bool has_available_server(const step& step, const exchange& exchange) {
     return std::any_of(step.state.servers.begin(), step.state.servers.end(), [&](const auto& entry) {
         return entry.second.registration.service == exchange.service &&
-               takes_new_work(step.state, entry.second, step.now) &&
+               takes_new_work(step.state, entry.second, step.now) && !is_pausing(entry.second, step.now) &&
                std::find(exchange.tried_servers.begin(), exchange.tried_servers.end(), entry.first) ==
                    exchange.tried_servers.end();
     });
@@ -146,7 +147,7 @@
     double rate = 0;
     for (const auto& [id, server] : step.state.servers) {
         if (server.registration.service == exchange.service && takes_new_work(step.state, server, step.now) &&
-            !is_cold(server, step.now)) {
+            !is_pausing(server, step.now) && !is_cold(server, step.now)) {
             rate += server.registration.slots / static_cast<double>(usual_time(step.state, server).count());
         }
     }
@@ -170,14 +171,14 @@
         return;
     }
     if (!has_available_server(step, exchange)) {
-        answer(step, id, result_code::request_no_backend_server, spread_retry_after(step));
+        answer(step, id, result_code::request_no_backend_server, retry_after_for(step, exchange));
         return;
     }
     auto& queue = service_of(step, exchange).queue;
     const auto wait = expected_wait(step, exchange, count_requests_ahead(queue, exchange, id));
     const auto spent = step.now - exchange.request.arrived;
     if (spent + wait > latest_answer_time(exchange)) {
-        answer(step, id, result_code::request_queue_full, spread_retry_after(step));
+        answer(step, id, result_code::request_queue_full, retry_after_for(step, exchange));
         return;
     }
     exchange.phase = exchange_phase::queued;
@@ -197,7 +198,7 @@
     auto& exchange = step.state.exchanges.at(id);
     const auto* const range = find_range(service_of(step, exchange).assignment, *exchange.request.key);
     if (range == nullptr) {
-        answer(step, id, result_code::ownership_no_owner, spread_retry_after(step));
+        answer(step, id, result_code::ownership_no_owner, retry_after_for(step, exchange));
         return;
     }
     const auto found = step.state.servers.find(range->owner);
@@ -207,22 +208,28 @@
         static_cast<std::int64_t>(static_cast<double>(exchange.objective.count()) * 1000 * move_wait_share));
     if (range->moving() || exchange.not_before > step.now) {
         if (spent > longest_wait) {
-            answer(step, id, result_code::ownership_no_owner, spread_retry_after(step));
+            answer(step, id, result_code::ownership_no_owner, retry_after_for(step, exchange));
             return;
         }
         wait_for_owner(step, id);
         return;
     }
     if (!known || !serves_own_keys(step.state, found->second, step.now) || is_unreachable(found->second, step.now)) {
-        answer(step, id, result_code::ownership_no_owner, spread_retry_after(step));
+        answer(step, id, result_code::ownership_no_owner, retry_after_for(step, exchange));
         return;
     }
     auto& server = found->second;
-    if (may_ask && uses_dispatchers(step.state) && ask_for_slot_at(step, id, server)) {
+    if (is_pausing(server, step.now)) {
+        answer(step, id, result_code::request_no_backend_server, retry_after_for(step, exchange));
+        return;
+    }
+    const bool accepts = accepts_from_here(server, step.now);
+    if (may_ask && accepts && uses_dispatchers(step.state) && ask_for_slot_at(step, id, server)) {
         return;
     }
     const auto ahead = count_requests_ahead(server.queue, exchange, id);
-    if (ahead == 0 && has_room(step.state, server, step.now) && take_cold_token(step.state, server, step.now)) {
+    if (ahead == 0 && accepts && has_room(step.state, server, step.now) &&
+        take_cold_token(step.state, server, step.now)) {
         send(step, id, server);
         return;
     }
@@ -233,7 +240,7 @@
         std::chrono::microseconds(static_cast<std::int64_t>(
             queued * static_cast<double>(usual_time(step.state, server).count()) / server.registration.slots));
     if (spent + wait > latest_answer_time(exchange)) {
-        answer(step, id, result_code::request_queue_full, spread_retry_after(step));
+        answer(step, id, result_code::request_queue_full, retry_after_for(step, exchange));
         return;
     }
     exchange.phase = exchange_phase::queued;
@@ -246,7 +253,7 @@
 bool retry(step& step, exchange_id id, bool takes_token) {
     auto& exchange = step.state.exchanges.at(id);
     if (exchange.attempts_left <= 0 || exchange.expires_at <= step.now + answer_margin ||
-        is_quarantined(step.state, exchange.request.fingerprint)) {
+        is_quarantined(step.state, exchange.request.fingerprint) || stated_wait(step, exchange).count() > 0) {
         return false;
     }
     if (takes_token && !take_retry_token(service_of(step, exchange))) {
@@ -320,7 +327,7 @@
         return;
     }
     if (!event.key) {
-        answer(step, id, result_code::request_key_missing, spread_retry_after(step));
+        answer(step, id, result_code::request_key_missing, retry_after_for(step, exchange));
         return;
     }
     note_key(service, step.now, *event.key);
@@ -338,6 +345,10 @@
         place_at_owner(step, id, true);
         return;
     }
+    if (stated_wait(step, exchange).count() > 0) {
+        answer(step, id, result_code::request_no_backend_server, retry_after_for(step, exchange));
+        return;
+    }
     if (!uses_dispatchers(step.state) || !ask_for_slot(step, id)) {
         place_at_any_server(step, id);
     }
@@ -351,24 +362,25 @@
     place_at_any_server(step, id);
 }
 
-void place_unsent_elsewhere(step& step, const model::backend_server_id& server) {
+void place_unsent_elsewhere(step& step, const model::backend_server_id& server, bool with_keys) {
     std::vector<exchange_id> unsent;
     for (const auto& [id, exchange] : step.state.exchanges) {
-        // A leaving owner still serves its keys for some time.
-        if (exchange.phase == exchange_phase::sent && exchange.server == server && !exchange.sending &&
-            !divided_by_key(step.state, exchange.service)) {
+        const bool is_unsent = exchange.phase == exchange_phase::sent && exchange.server == server && !exchange.sending;
+        const bool asks = exchange.phase == exchange_phase::asking && exchange.wanted_server == server;
+        if ((is_unsent || asks) && (with_keys || !divided_by_key(step.state, exchange.service))) {
             unsent.push_back(id);
         }
     }
     for (const auto id : unsent) {
         auto& exchange = step.state.exchanges.at(id);
-        step.add(cancel_attempt{id, exchange.attempt});
-        --step.state.servers.at(server).outstanding;
-        step.state.load_changed = true;
+        if (exchange.phase == exchange_phase::sent) {
+            step.add(cancel_attempt{id, exchange.attempt});
+            end_outstanding(step, step.state.servers.at(server), exchange);
+            --exchange.attempts;
+            ++exchange.attempts_left;
+        }
         release_ask(step, exchange, std::nullopt);
         exchange.phase = exchange_phase::queued;
-        --exchange.attempts;
-        ++exchange.attempts_left;
         place(step, id);
     }
 }
@@ -403,8 +415,7 @@
     if (exchange.phase == exchange_phase::sent) {
         const auto server = step.state.servers.find(exchange.server);
         if (server != step.state.servers.end()) {
-            --server->second.outstanding;
-            step.state.load_changed = true;
+            end_outstanding(step, server->second, exchange);
         }
         step.add(cancel_attempt{id, exchange.attempt});
     }
@@ -435,12 +446,14 @@
     const auto elapsed = step.now - exchange.attempt_at;
     const auto server = step.state.servers.find(exchange.server);
     if (server != step.state.servers.end()) {
-        --server->second.outstanding;
-        step.state.load_changed = true;
+        end_outstanding(step, server->second, exchange);
+        note_end_after_pause(server->second, exchange, event.outcome);
         record_outcome(step, server->second, event, elapsed);
     }
     const auto elapsed_milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
-    release_ask(step, exchange, attempt_summary{event.outcome, event.status, elapsed_milliseconds, event.load});
+    release_ask(step, exchange,
+                attempt_summary{event.outcome, event.status, elapsed_milliseconds, event.load, exchange.signals,
+                                exchange.server_born});
     if (event.outcome == attempt_outcome::delivered || event.outcome == attempt_outcome::failed) {
         note_good_end(step, exchange.request.fingerprint);
     }
@@ -465,7 +478,8 @@
         // Nothing reached a server, so the attempt is not counted against the limit.
         ++exchange.attempts_left;
         if (!retry(step, event.exchange, false)) {
-            answer(step, event.exchange, result_code::request_backend_server_unreachable, spread_retry_after(step));
+            answer(step, event.exchange, result_code::request_backend_server_unreachable,
+                   retry_after_for(step, exchange));
         }
         return;
     case attempt_outcome::not_run:
@@ -477,7 +491,7 @@
         // The server did not run the request, so it can be sent to another one.
         ++exchange.attempts_left;
         if (exchange.attempts > 2 || !retry(step, event.exchange, true)) {
-            answer(step, event.exchange, result_code::request_backend_server_refused, spread_retry_after(step));
+            answer(step, event.exchange, result_code::request_backend_server_refused, retry_after_for(step, exchange));
         }
         return;
     case attempt_outcome::failed:
@@ -495,7 +509,7 @@
         exchange.may_have_run = true;
         if (!idempotent || is_suspected_again(step.state, exchange.request.fingerprint) ||
             !retry(step, event.exchange, true)) {
-            answer(step, event.exchange, result_code::request_answer_cut_short, spread_retry_after(step));
+            answer(step, event.exchange, result_code::request_answer_cut_short, retry_after_for(step, exchange));
         }
         return;
     }
@@ -509,13 +523,12 @@
             exchange.may_have_run = exchange.may_have_run || exchange.sending;
             const auto server = step.state.servers.find(exchange.server);
             if (server != step.state.servers.end()) {
-                --server->second.outstanding;
-                step.state.load_changed = true;
+                end_outstanding(step, server->second, exchange);
                 server->second.spare_window = std::max(smallest_spare_window, server->second.spare_window - 0.5);
             }
             step.add(cancel_attempt{id, exchange.attempt});
         }
-        answer(step, id, result_code::request_deadline_passed, spread_retry_after(step));
+        answer(step, id, result_code::request_deadline_passed, retry_after_for(step, exchange));
     }
 }
 
@@ -544,7 +557,7 @@
         for (const auto& item : server.queue) {
             // Entries beyond the server's window cannot be sent now, so checking them would be wasted work.
             if (++tried > static_cast<std::size_t>(largest_spare_window) + 2 &&
-                serves_own_keys(state, server, step.now)) {
+                serves_own_keys(state, server, step.now) && !is_pausing(server, step.now)) {
                 break;
             }
             due.push_back(std::get<2>(item));
--- a/source/routing/requests.hpp
+++ b/source/routing/requests.hpp
@@ -13,7 +13,8 @@
 /// The same without a dispatcher, if none answers.
 void place_without_dispatcher(step& step, exchange_id id);
 /// Withdraws the requests of which nothing was sent yet to a server that takes no more of them, and places them again.
-void place_unsent_elsewhere(step& step, const model::backend_server_id& server);
+/// `with_keys`: also those for its keys, which a leaving owner still serves for some time.
+void place_unsent_elsewhere(step& step, const model::backend_server_id& server, bool with_keys);
 /// Whether the server owns the key of the request and may serve it.
 [[nodiscard]] bool owns_key(const step& step, const exchange& exchange, const server_record& server);
 /// Cancels the request of a caller that has disconnected.
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -43,6 +43,13 @@
     /// When it was first and last heard to say that it leaves.
     std::optional<base::boot_time> leaving_since;
     base::boot_time leaving_heard_at;
+    /// This instance had the word from the server itself, not from another instance.
+    bool leaving_heard_here = false;
+    /// It wants no requests from this instance until this time.
+    base::boot_time paused_until;
+    /// Most requests from this instance in progress after the pause, and those that are; 0 for no limit.
+    std::int32_t most_after_pause = 0;
+    std::int32_t sent_after_pause = 0;
 };
 
 /// What this instance knows of one backend server.
@@ -151,6 +158,8 @@
     std::uint64_t server_born = 0;
     model::attempt_id attempt;
     base::boot_time attempt_at;
+    /// What the server has stated in the answer to the attempt.
+    server_signals signals;
     std::int32_t attempts = 0;
     bool sending = false;
     /// An earlier attempt may have run.
@@ -513,6 +522,7 @@
     std::map<base::result_code, std::uint64_t> refused;
     std::uint64_t retries = 0;
     std::uint64_t moves = 0;
+    std::uint64_t stated_pauses = 0;
 };
 
 /// Whether callers can be served: configuration, registry and assignments are known.
--- a/tests/routing/signals_test.cpp
+++ b/tests/routing/signals_test.cpp
@@ -1,7 +1,11 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <map>
-#include <set>
+#include <optional>
+#include <random>
+#include <utility>
 
 #include "routing/single_instance.hpp"
 
@@ -10,6 +14,16 @@
 
 const server_signals leaving{true, 0ms, {}};
 
+server_signals pause_of(std::chrono::milliseconds time) {
+    return {false, time, {}};
+}
+
+/// The server of the request's last attempt turns it away.
+void turn_away(instance& instance, exchange_id id, std::chrono::milliseconds pause) {
+    instance.signal(id, pause_of(pause));
+    instance.end(id, attempt_outcome::not_run, 503);
+}
+
 /// Sends requests one after the other, each answered at once, and counts those that reach the server.
 int requests_at(instance& instance, const model::backend_server_id& server, int requests) {
     int found = 0;
@@ -174,4 +188,252 @@
     CHECK(std::none_of(ids.begin(), ids.end(), waits));
 }
 
+// Guards against BUDGET: requests and repeats to a server that has asked for a pause.
+TEST_CASE("a server that asks for a pause gets nothing until its end", "[signals]") {
+    instance instance(2);
+    const auto id = instance.request("/get/1");
+    const auto server = instance.sent(id).front().server;
+    turn_away(instance, id, 3s);
+    REQUIRE(instance.sent(id).size() == 2);
+    CHECK(instance.sent(id).back().server != server);
+    instance.end(id, attempt_outcome::delivered, 200);
+    for (int passed = 0; passed < 29; ++passed) {
+        CHECK(requests_at(instance, server, 3) == 0);
+        instance.advance_time(100ms);
+    }
+    CHECK(instance.logged("server_states_pause") == 1);
+    // The end is spread by up to a quarter, so that the instances do not return together.
+    instance.advance_time(1s);
+    CHECK(requests_at(instance, server, 20) > 0);
+}
+
+// Guards against a pause on a clock that stands still while the machine is suspended.
+TEST_CASE("a pause goes on while the machine is suspended", "[signals]") {
+    instance instance(1);
+    const auto id = instance.request("/pay/1");
+    turn_away(instance, id, 3s);
+    instance.suspend(4s);
+    CHECK(instance.sent(instance.request("/get/1")).size() == 1);
+}
+
+// Guards against callers that wait for servers that want nothing, and against a Retry-After that is too early.
+TEST_CASE("where all servers pause the caller is refused at once with the earliest time to come back", "[signals]") {
+    instance instance(2);
+    const auto first = instance.request("/pay/1");
+    turn_away(instance, first, 8s);
+    REQUIRE(instance.sent(first).size() == 2);
+    turn_away(instance, first, 4s);
+    const auto check = [&instance](exchange_id id) {
+        REQUIRE(instance.answers(id).size() == 1);
+        CHECK(instance.answers(id).front().status == 503);
+        CHECK(instance.answers(id).front().retry_after >= 4s);
+        CHECK(instance.answers(id).front().retry_after <= 5s + shortest_retry_after + retry_after_spread);
+    };
+    check(first);
+    const auto next = instance.request("/get/1");
+    CHECK(instance.sent(next).empty());
+    check(next);
+    CHECK(instance.state().retries == 1);
+}
+
+TEST_CASE("requests for keys of an owner that pauses are refused at once, also those that wait for it", "[signals]") {
+    instance instance(1);
+    std::vector<exchange_id> ids;
+    for (int number = 0; number < 8; ++number) {
+        ids.push_back(instance.request("/look/" + std::to_string(number)));
+    }
+    const auto waiting = std::find_if(ids.begin(), ids.end(), [&instance](exchange_id id) {
+        return instance.sent(id).empty() && instance.answers(id).empty();
+    });
+    REQUIRE(waiting != ids.end());
+    turn_away(instance, ids.front(), 3s);
+    instance.advance_time(20ms);
+    for (const auto id : {ids.front(), *waiting, instance.request("/look/9")}) {
+        REQUIRE(instance.answers(id).size() == 1);
+        CHECK(instance.answers(id).front().status == 503);
+        CHECK(instance.answers(id).front().retry_after >= 2900ms);
+    }
+}
+
+// Guards against a request that reaches the server during the pause because it waited for a connection when it began.
+TEST_CASE("a request of which nothing was sent yet is withdrawn when the server asks for a pause", "[signals]") {
+    instance instance(1);
+    const auto path = GENERATE(as<std::string>(), "/get/", "/look/");
+    const auto id = instance.request(path + "1");
+    const auto unsent = instance.request(path + "2");
+    REQUIRE(instance.sent(unsent).size() == 1);
+    turn_away(instance, id, 3s);
+    CHECK(instance.count<cancel_attempt>() == 1);
+    CHECK(instance.sent(unsent).size() == 1);
+    REQUIRE(instance.answers(unsent).size() == 1);
+    CHECK(instance.answers(unsent).front().retry_after >= 3s);
+    for (const auto& [name, server] : instance.state().servers) {
+        CHECK(server.outstanding == 0);
+    }
+}
+
+// Guards against a burst that turns a server away again the moment its pause ends.
+TEST_CASE("after a pause a server gets one request, and more with each that it answers", "[signals]") {
+    instance instance(1);
+    const auto id = instance.request("/pay/1");
+    turn_away(instance, id, 1s);
+    instance.advance_time(1300ms);
+    const auto in_progress = [&instance](std::vector<exchange_id>& ids) {
+        for (int number = 0; number < 12; ++number) {
+            ids.push_back(instance.request("/get/1"));
+        }
+        std::erase_if(ids, [&instance](exchange_id item) { return instance.sent(item).empty(); });
+        return ids.size();
+    };
+    std::vector<exchange_id> ids;
+    REQUIRE(in_progress(ids) == 1);
+    SECTION("while it answers") {
+        instance.end(ids.front(), attempt_outcome::delivered, 200);
+        CHECK(instance.state().servers.at(instance.sent(ids.front()).front().server).outstanding == 2);
+    }
+    SECTION("but none if it asks for a pause again") {
+        turn_away(instance, ids.front(), 1s);
+        std::vector<exchange_id> later;
+        CHECK(in_progress(later) == 0);
+    }
+    SECTION("an answer to a request from before the pause counts for nothing") {
+        REQUIRE(instance.state().servers.at(instance.sent(ids.front()).front().server).stated.most_after_pause == 1);
+    }
+}
+
+TEST_CASE("a pause ends with the run of the server that asked for it", "[signals]") {
+    instance instance(1);
+    turn_away(instance, instance.request("/pay/1"), 20s);
+    REQUIRE(instance.sent(instance.request("/get/1")).empty());
+    auto restarted = server_of("book-0", unkeyed_service);
+    restarted.born = 8;
+    instance.process_event(backend_server_updated{restarted});
+    CHECK(instance.sent(instance.request("/get/1")).size() == 1);
+    CHECK(instance.state().stating_servers.empty());
+}
+
+// Guards against a probe of a server that wants nothing.
+TEST_CASE("a server that pauses is not probed", "[signals]") {
+    const bool pauses = GENERATE(false, true);
+    instance instance(1);
+    const auto id = instance.request("/get/1");
+    instance.state().exchanges.at(id).request.fingerprint = 77;
+    const auto other = instance.request("/get/2");
+    instance.signal(id, pause_of(0ms));
+    instance.process_event(attempt_sent{other, instance.sent(other).back().attempt});
+    if (pauses) {
+        instance.signal(other, pause_of(3s));
+    }
+    instance.end(id, attempt_outcome::connection_lost);
+    CHECK(instance.count<probe_server>() == (pauses ? 0 : 1));
+}
+
+// Guards against DRAIN and BUDGET in sequences that no single case has: restarts under the same id, suspensions, an
+// absent store, entries that contradict the servers, late answers and requests that wait for a connection.
+TEST_CASE("both rules hold in random sequences", "[signals]") {
+    constexpr auto drain_time = 2000ms;
+    struct run_of_server {
+        std::uint64_t born = 7;
+        std::optional<base::boot_time> leaving_heard;
+        std::vector<std::pair<base::boot_time, base::boot_time>> pauses;
+    };
+    int leaving_words = 0;
+    int pauses = 0;
+    int arrivals = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        instance instance(3);
+        std::map<model::backend_server_id, run_of_server> runs;
+        std::map<exchange_id, base::boot_time> arrived;
+        std::map<model::attempt_id, std::pair<send_request, std::uint64_t>> unsent;
+        std::map<model::attempt_id, std::pair<send_request, std::uint64_t>> sent;
+        std::size_t seen = 0;
+        const auto follow_effects = [&] {
+            for (; seen < instance.all_effects().size(); ++seen) {
+                const auto& effect = instance.all_effects()[seen];
+                if (const auto* send = std::get_if<send_request>(&effect)) {
+                    unsent[send->attempt] = {*send, runs[send->server].born};
+                } else if (const auto* cancel = std::get_if<cancel_attempt>(&effect)) {
+                    unsent.erase(cancel->attempt);
+                    sent.erase(cancel->attempt);
+                }
+            }
+        };
+        const auto any_of = [&random](auto& attempts) {
+            return std::next(attempts.begin(), static_cast<std::ptrdiff_t>(random() % attempts.size()));
+        };
+        for (int count = 0; count < 1500; ++count) {
+            const auto action = random() % 100;
+            if (action < 40) {
+                const auto id = instance.request(std::array{"/get/1", "/pay/1", "/look/1"}.at(random() % 3));
+                arrived[id] = instance.now();
+            } else if (action < 60 && !unsent.empty()) {
+                const auto at = any_of(unsent);
+                const auto [send, born] = at->second;
+                const auto& run = runs[send.server];
+                if (run.born == born) {
+                    ++arrivals;
+                    if (run.leaving_heard) {
+                        CHECK(arrived.at(send.exchange) - *run.leaving_heard <= drain_time);
+                    }
+                    for (const auto& [from, until] : run.pauses) {
+                        CHECK((instance.now() <= from + 500ms || instance.now() >= until));
+                    }
+                }
+                sent.insert(unsent.extract(at));
+                instance.process_event(attempt_sent{send.exchange, send.attempt});
+            } else if (action < 85 && !sent.empty()) {
+                const auto at = any_of(sent);
+                const auto [send, born] = at->second;
+                sent.erase(at);
+                auto& run = runs[send.server];
+                const bool turns_away = random() % 8 == 0;
+                server_signals signals;
+                signals.leaving = run.born == born && (run.leaving_heard || random() % 60 == 0);
+                signals.pause = std::chrono::milliseconds(turns_away ? random() % 4000 : 0);
+                if (!signals.empty()) {
+                    if (run.born == born && signals.leaving && !run.leaving_heard) {
+                        run.leaving_heard = instance.now();
+                        ++leaving_words;
+                    }
+                    if (run.born == born && turns_away) {
+                        run.pauses.emplace_back(instance.now(), instance.now() + signals.pause);
+                        ++pauses;
+                    }
+                    instance.process_event(signals_received{send.exchange, send.attempt, signals});
+                }
+                const auto outcome = turns_away ? attempt_outcome::not_run : attempt_outcome::delivered;
+                instance.process_event(
+                    attempt_ended{send.exchange, send.attempt, outcome, turns_away ? 503 : 200, false, {}});
+            } else if (action < 93) {
+                instance.advance_time(std::chrono::milliseconds(10 * (1 + random() % 10)));
+            } else if (action < 94) {
+                instance.suspend(std::chrono::milliseconds(random() % 500));
+            } else if (action < 95) {
+                instance.process_event(store_reachability_changed{random() % 2 == 0});
+            } else {
+                const bool keyed = random() % 4 == 0;
+                const std::string name = keyed ? "board-0" : "book-" + std::to_string(random() % 3);
+                auto entry = server_of(name, keyed ? keyed_service : unkeyed_service);
+                auto& run = runs[entry.id];
+                if (!keyed && random() % 4 == 0) {
+                    run = {run.born + 1, {}, {}};
+                }
+                entry.born = run.born;
+                entry.draining = random() % 10 == 0;
+                if (random() % 10 == 0) {
+                    instance.process_event(backend_server_removed{entry.id});
+                }
+                instance.process_event(backend_server_updated{entry});
+            }
+            follow_effects();
+        }
+    }
+    // The sequences meet what they are to check.
+    CHECK(leaving_words > 100);
+    CHECK(pauses > 200);
+    CHECK(arrivals > 5000);
+}
+
 } // namespace lovagetack::routing::testing
--- a/tests/routing/single_instance.hpp
+++ b/tests/routing/single_instance.hpp
@@ -69,6 +69,9 @@
         }
     }
 
+    /// The machine is suspended: time passes without events.
+    void suspend(std::chrono::milliseconds time) { now_ += time; }
+
     /// Attempts that were sent for the request.
     std::vector<send_request> sent(exchange_id id) const {
         std::vector<send_request> found;
