routing, wire: dispatchers and the holders of slots go by what servers state

In a large deployment a dispatcher gives out the slots of a server. It went on giving out those of a server that had told another instance that it leaves, and gave instances slots of servers that had asked them for a pause.

An instance names the servers that it must not use now in its requests for slots, and gives back a slot of one that it gets all the same. It reports both statements, with the run of the server, when it returns the slot. The dispatcher gives out no more slots of a server that leaves; after a pause it leaves the server out for the waiting requests of that instance only, since others may be wanted. A request is refused at once if all servers of its group are left out, not counted on them.

--- a/source/gateway/load_exchange.cpp
+++ b/source/gateway/load_exchange.cpp
@@ -39,6 +39,8 @@
         }
         item.observations = static_cast<std::int32_t>(server.observations());
         item.observed = std::chrono::microseconds(server.observed_us());
+        item.leaving_born = server.leaving_born();
+        item.leaving_age = std::chrono::milliseconds(server.leaving_age_ms());
         load.servers.push_back(std::move(item));
     }
     for (const auto& keys : message.keys()) {
@@ -189,6 +191,9 @@
     attempt.outcome = static_cast<routing::attempt_outcome>(message.outcome());
     attempt.status = message.status();
     attempt.elapsed = std::chrono::milliseconds(message.elapsed_ms());
+    attempt.signals.leaving = message.leaving();
+    attempt.signals.pause = std::chrono::milliseconds(message.pause_ms());
+    attempt.server_born = message.server_born();
     if (message.told()) {
         attempt.load = routing::reported_load{
             static_cast<std::int32_t>(message.running()), static_cast<std::int32_t>(message.waiting()),
@@ -371,6 +376,8 @@
         }
         server.set_observations(static_cast<std::uint32_t>(item.observations));
         server.set_observed_us(static_cast<std::uint64_t>(item.observed.count()));
+        server.set_leaving_born(item.leaving_born);
+        server.set_leaving_age_ms(static_cast<std::uint32_t>(item.leaving_age.count()));
     }
     for (const auto& item : load.keys) {
         auto& keys = *message.add_keys();
@@ -511,6 +518,9 @@
         message.set_outcome(static_cast<std::uint32_t>(release.attempt->outcome));
         message.set_status(release.attempt->status);
         message.set_elapsed_ms(static_cast<std::uint32_t>(release.attempt->elapsed.count()));
+        message.set_leaving(release.attempt->signals.leaving);
+        message.set_pause_ms(static_cast<std::uint32_t>(release.attempt->signals.pause.count()));
+        message.set_server_born(release.attempt->server_born);
     }
     if (release.attempt && release.attempt->load) {
         const auto& load = *release.attempt->load;
--- a/source/routing/asking.cpp
+++ b/source/routing/asking.cpp
@@ -10,6 +10,7 @@
 #include "routing/log_fields.hpp"
 #include "routing/requests.hpp"
 #include "routing/servers.hpp"
+#include "routing/signals.hpp"
 
 namespace lovagetack::routing {
 namespace {
@@ -66,6 +67,15 @@
     request.age = in_whole_milliseconds(step.now - exchange.request.arrived);
     request.patience = in_whole_milliseconds(patience_of(step, exchange));
     request.excluded = exchange.tried_servers;
+    for (const auto& id : step.state.stating_servers) {
+        const auto& server = step.state.servers.at(id);
+        const auto& place = server.registration;
+        const bool asked_for = exchange.wanted_server.empty() && place.service == exchange.service &&
+                               place.data_centre == exchange.group.data_centre;
+        if (asked_for && (is_leaving(server) || !accepts_from_here(server, step.now))) {
+            request.excluded.push_back(id);
+        }
+    }
     step.add(send_slot_request{exchange.dispatcher, std::move(request)});
 }
 
@@ -101,7 +111,7 @@
             return;
         }
     }
-    answer(step, id, base::result_code::request_queue_full, wait + spread_retry_after(step));
+    answer(step, id, base::result_code::request_queue_full, wait + retry_after_for(step, exchange));
 }
 
 /// The dispatcher does not answer: another one takes its place for this instance.
@@ -234,15 +244,16 @@
     }
     const auto server = state.servers.find(event.server);
     const bool known = server != state.servers.end();
-    if (known && (exchange.wanted_server.empty() ? takes_new_work(state, server->second, step.now)
-                                                 : owns_key(step, exchange, server->second))) {
+    if (known && accepts_from_here(server->second, step.now) &&
+        (exchange.wanted_server.empty() ? takes_new_work(state, server->second, step.now)
+                                        : owns_key(step, exchange, server->second))) {
         send(step, id, server->second);
         return;
     }
     exchange.server = event.server;
     release_ask(step, exchange, std::nullopt);
     if (!exchange.wanted_server.empty()) {
-        // The key has another owner by now.
+        // The key has another owner by now, or its owner has asked this instance for a pause.
         exchange.phase = exchange_phase::queued;
         place(step, id);
         return;
--- a/source/routing/dispatching.cpp
+++ b/source/routing/dispatching.cpp
@@ -7,6 +7,7 @@
 #include "routing/groups.hpp"
 #include "routing/limits.hpp"
 #include "routing/servers.hpp"
+#include "routing/signals.hpp"
 
 namespace lovagetack::routing {
 namespace {
@@ -69,6 +70,10 @@
     return time * (1.0 + busy_slot_share * busy) / (1.0 - std::min(0.9, server.failing));
 }
 
+bool is_excluded(const slot_request& request, const model::backend_server_id& server) {
+    return std::find(request.excluded.begin(), request.excluded.end(), server) != request.excluded.end();
+}
+
 /// The server of the group with a free slot that is expected to answer first; null if there is none.
 server_record* choose_free_server(step& step, const slot_request& request) {
     server_record* best = nullptr;
@@ -76,8 +81,8 @@
     const auto queue = queue_of(request);
     for (const auto& id : servers_of_queue(step, queue)) {
         auto& server = step.state.servers.at(id);
-        const bool excluded = std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
-        if (excluded || !takes(step, server, queue) || used_slots(step.state, id) >= server.registration.slots) {
+        if (is_excluded(request, id) || !takes(step, server, queue) ||
+            used_slots(step.state, id) >= server.registration.slots) {
             continue;
         }
         const double jitter = 0.95 + static_cast<double>(step.state.random() % 1000) / 10000.0;
@@ -97,13 +102,14 @@
     return best;
 }
 
-/// Expected time until the slot for a request is free that has `ahead` requests before it; nothing if no server takes
-/// requests.
-std::optional<std::chrono::microseconds> expected_wait(step& step, const ask_queue_id& queue, std::size_t ahead) {
+/// Expected time until the slot for the request is free that has `ahead` requests before it; nothing if no server takes
+/// it.
+std::optional<std::chrono::microseconds> expected_wait(step& step, const slot_request& request, std::size_t ahead) {
+    const auto queue = queue_of(request);
     double rate = 0;
     for (const auto& id : servers_of_queue(step, queue)) {
         const auto& server = step.state.servers.at(id);
-        if (takes(step, server, queue) && !is_cold(server, step.now)) {
+        if (!is_excluded(request, id) && takes(step, server, queue) && !is_cold(server, step.now)) {
             rate += server.registration.slots / static_cast<double>(usual_time(step.state, server).count());
         }
     }
@@ -157,6 +163,20 @@
     }
 }
 
+/// The sender must not use the server for now, so its waiting requests get the slots of others.
+void exclude_from_waiting(step& step, const model::instance_id& sender, const server_group& group,
+                          const model::backend_server_id& server) {
+    const auto found = step.state.dispatch.queues.find({group, {}});
+    if (found == step.state.dispatch.queues.end()) {
+        return;
+    }
+    for (auto& [place, waiting] : found->second) {
+        if (waiting.request.sender == sender && !is_excluded(waiting.request, server)) {
+            waiting.request.excluded.push_back(server);
+        }
+    }
+}
+
 void drop_old_asks(step& step) {
     for (auto& [queue_id, queue] : step.state.dispatch.queues) {
         for (auto at = queue.begin(); at != queue.end();) {
@@ -166,7 +186,8 @@
                 continue;
             }
             if (step.now > waiting.until) {
-                const auto wait = expected_wait(step, queue_id, queue.size()).value_or(std::chrono::microseconds(0));
+                const auto wait =
+                    expected_wait(step, waiting.request, queue.size()).value_or(std::chrono::microseconds(0));
                 reply(step, waiting.request, slot_outcome::refused, {},
                       std::chrono::duration_cast<std::chrono::milliseconds>(wait));
             }
@@ -206,7 +227,7 @@
         }
         return;
     }
-    const auto wait = expected_wait(step, queue_id, ahead);
+    const auto wait = expected_wait(step, event, ahead);
     if (!wait || *wait > event.patience * queue_acceptance_percent / 100) {
         const auto told =
             std::chrono::duration_cast<std::chrono::milliseconds>(wait.value_or(std::chrono::microseconds(0)));
@@ -237,8 +258,14 @@
         const auto& attempt = *event.attempt;
         record_outcome(step, server->second, {0, {}, attempt.outcome, attempt.status, false, attempt.load},
                        attempt.elapsed);
+        if (attempt.signals.leaving) {
+            note_told_leaving(step, server->second, attempt.server_born, std::chrono::milliseconds(0));
+        }
     }
     const auto group = group_of(step.state, server->second.registration);
+    if (event.attempt && event.attempt->signals.pause.count() > 0) {
+        exclude_from_waiting(step, event.sender, group, server->first);
+    }
     serve_queue(step, {group, server->first});
     serve_queue(step, {group, {}});
 }
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -382,7 +382,8 @@
     load.sequence = 5;
     load.is_keeper = true;
     load.servers = {{model::backend_server_id("i-1"), 3, 2, routing::reported_load{1, 2, 3, 150},
-                     std::chrono::milliseconds(9), 4, std::chrono::microseconds(1500)}};
+                     std::chrono::milliseconds(9), 4, std::chrono::microseconds(1500), 1789,
+                     std::chrono::milliseconds(70)}};
     load.keys = {{model::service_id("s"), {1, 65535}}};
     const auto event = load_exchange::decode(QByteArray::fromStdString(load_exchange::encode(load)));
     REQUIRE(event);
@@ -392,6 +393,8 @@
     REQUIRE(decoded.servers.front().load->slowness == 150);
     REQUIRE(decoded.servers.front().load_age == std::chrono::milliseconds(9));
     REQUIRE(decoded.servers.front().observations == 4);
+    REQUIRE(decoded.servers.front().leaving_born == 1789);
+    REQUIRE(decoded.servers.front().leaving_age == std::chrono::milliseconds(70));
     REQUIRE(decoded.servers.front().observed == std::chrono::microseconds(1500));
     REQUIRE(decoded.keys.front().keys.back() == 65535);
     REQUIRE_FALSE(load_exchange::decode("not a message"));
@@ -416,12 +419,19 @@
     };
     routing::slot_release release{model::instance_id("one"), 77, 5, model::backend_server_id("i-1"), std::nullopt};
     REQUIRE_FALSE(std::get<routing::slot_release>(decode(load_exchange::encode(release))).attempt);
-    release.attempt = {routing::attempt_outcome::cut_short, 503, std::chrono::milliseconds(70),
-                       routing::reported_load{1, 2, 3, 150}};
+    release.attempt = {routing::attempt_outcome::cut_short,
+                       503,
+                       std::chrono::milliseconds(70),
+                       routing::reported_load{1, 2, 3, 150},
+                       {true, std::chrono::milliseconds(3000), {}},
+                       9};
     const auto released = std::get<routing::slot_release>(decode(load_exchange::encode(release)));
     REQUIRE(released.attempt->outcome == routing::attempt_outcome::cut_short);
     REQUIRE(released.attempt->elapsed == std::chrono::milliseconds(70));
     REQUIRE(released.attempt->load->slowness == 150);
+    REQUIRE(released.attempt->signals.leaving);
+    REQUIRE(released.attempt->signals.pause == std::chrono::milliseconds(3000));
+    REQUIRE(released.attempt->server_born == 9);
     const routing::slot_answer answer{
         model::instance_id("two"), 5, routing::slot_outcome::queued, {}, std::chrono::milliseconds(30)};
     REQUIRE(std::get<routing::slot_answer>(decode(load_exchange::encode(answer))).outcome ==
--- a/tests/routing/load_play.hpp
+++ b/tests/routing/load_play.hpp
@@ -53,6 +53,13 @@
         int messages = 0;
         /// Most requests that a server had in progress and queued.
         int most_at_one_server = 0;
+        /// Arrivals from an instance at a server that had told it that it leaves, later than the drain time, and at one
+        /// that had asked it for a pause.
+        int late_at_leaving = 0;
+        int in_pause = 0;
+        /// Arrivals at servers since they began to say that they leave.
+        int at_leaving = 0;
+        int turned_away = 0;
     };
 
     explicit load_play(const plan& plan) : plan_(plan), random_(plan.seed) {
@@ -84,6 +91,14 @@
     }
     void set_work(int server, std::chrono::microseconds work) { servers_[index(server)].work = work; }
 
+    /// From now on the server says in its answers that it leaves.
+    void say_leaving(int server) { servers_[index(server)].leaves = true; }
+    /// The server turns requests away for `time`, and asks each instance for a pause.
+    void turn_away(int server, std::chrono::microseconds time, std::chrono::milliseconds pause) {
+        servers_[index(server)].turns_away_until = now_ + time;
+        servers_[index(server)].pause = pause;
+    }
+
     /// The instance that most others ask for slots.
     [[nodiscard]] int busiest_dispatcher() const {
         return static_cast<int>(std::max_element(asked_.begin(), asked_.end()) - asked_.begin());
@@ -104,6 +119,12 @@
         std::chrono::microseconds work{0};
         int running = 0;
         std::vector<std::function<void()>> waiting;
+        bool leaves = false;
+        base::boot_time turns_away_until;
+        std::chrono::milliseconds pause{0};
+        /// When the server first told an instance that it leaves, and the last pause that it asked for.
+        std::map<const simulated_instance*, base::boot_time> told_leaving;
+        std::map<const simulated_instance*, std::pair<base::boot_time, base::boot_time>> told_pause;
     };
     struct call {
         base::boot_time at;
@@ -271,12 +292,38 @@
         at(network_delay, [this, &instance, effect] { arrive_at_server(instance, effect); });
     }
 
+    void check_rules(const simulated_instance& instance, const simulated_server& server, const send_request& effect) {
+        constexpr auto drain_time = 3000ms;
+        constexpr auto pause_slack = 500ms;
+        results_.at_leaving += server.leaves ? 1 : 0;
+        const auto leaving = server.told_leaving.find(&instance);
+        if (leaving != server.told_leaving.end() && arrived_[effect.exchange] > leaving->second + drain_time) {
+            ++results_.late_at_leaving;
+        }
+        const auto pause = server.told_pause.find(&instance);
+        if (pause != server.told_pause.end() && now_ > pause->second.first + pause_slack &&
+            now_ < pause->second.second) {
+            ++results_.in_pause;
+        }
+    }
+
     void arrive_at_server(simulated_instance& instance, const send_request& effect) {
         auto& server = *std::find_if(servers_.begin(), servers_.end(), [&effect](const simulated_server& item) {
             return item.registration.id == effect.server;
         });
         ++results_.arrivals;
+        check_rules(instance, server, effect);
         deliver_later(instance, attempt_sent{effect.exchange, effect.attempt}, 0ms);
+        if (server.turns_away_until > now_) {
+            ++results_.turned_away;
+            server.told_pause[&instance] = {now_, now_ + server.pause};
+            deliver_later(instance, signals_received{effect.exchange, effect.attempt, {false, server.pause, {}}},
+                          network_delay);
+            deliver_later(instance,
+                          attempt_ended{effect.exchange, effect.attempt, attempt_outcome::not_run, 503, false, {}},
+                          network_delay);
+            return;
+        }
         if (server.running >= server.registration.slots && server.waiting.size() >= server_queue) {
             ++results_.rejected_by_servers;
             deliver_later(
@@ -292,6 +339,11 @@
                 --server.running;
                 const reported_load load{server.running, static_cast<std::int32_t>(server.waiting.size()),
                                          server.registration.slots, 100};
+                if (server.leaves) {
+                    server.told_leaving.try_emplace(&instance, now_);
+                    deliver_later(instance, signals_received{effect.exchange, effect.attempt, {true, 0ms, {}}},
+                                  network_delay);
+                }
                 deliver_later(
                     instance,
                     attempt_ended{effect.exchange, effect.attempt, attempt_outcome::delivered, 200, true, load},
