routing: instances tell each other which servers have said that they leave

The keeper moved the keys of a leaving owner when the store showed it or when it had heard the word itself. With an owner that told another instance, the requests for its keys were refused after 1.4 s until the store showed it.

The load messages and the reports to a keeper now carry the word, with the run of the server and the age of the word, for as long as the instance that heard it keeps it. Receivers go by it as by one of their own, so the keeper plans without the server; they do not tell it on, so that a false one ends everywhere 60 s after it was last heard.

Evidence: without it both new cases of tests/routing/signals_test.cpp fail, one of them with keepers, owners and a store; with it they pass.

--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -5,6 +5,7 @@
 #include "routing/keeper.hpp"
 #include "routing/keeper_plan.hpp"
 #include "routing/servers.hpp"
+#include "routing/signals.hpp"
 
 namespace lovagetack::routing {
 namespace {
@@ -28,6 +29,7 @@
         if (item.observations > 0) {
             note_service_time(step.state, found->second, item.observed, item.observations);
         }
+        note_told_leaving(step, found->second, item.leaving_born, item.leaving_age);
         if (!item.load) {
             continue;
         }
@@ -83,7 +85,12 @@
             item.observations = times.count;
             item.observed = times.sum / times.count;
         }
-        if (item.outstanding > 0 || item.queued > 0 || item.load || item.observations > 0) {
+        if (server.stated.leaving_since && server.stated.leaving_heard_here) {
+            item.leaving_born = server.registration.born;
+            item.leaving_age =
+                std::chrono::duration_cast<std::chrono::milliseconds>(step.now - server.stated.leaving_heard_at);
+        }
+        if (item.outstanding > 0 || item.queued > 0 || item.load || item.observations > 0 || item.leaving_born != 0) {
             item.server = id;
             message.servers.push_back(std::move(item));
         }
--- a/tests/routing/signals_test.cpp
+++ b/tests/routing/signals_test.cpp
@@ -7,6 +7,7 @@
 #include <random>
 #include <utility>
 
+#include "routing/deployment.hpp"
 #include "routing/single_instance.hpp"
 
 namespace lovagetack::routing::testing {
@@ -436,4 +437,71 @@
     CHECK(arrivals > 5000);
 }
 
+// Guards against a word that instances tell each other for ever, and against one about a run that is over.
+TEST_CASE("an instance tells what it has heard itself, and goes by what it is told", "[signals]") {
+    instance instance(2);
+    const model::backend_server_id server("book-0");
+    instance_load told;
+    told.instance = model::instance_id("two");
+    told.incarnation = 1;
+    told.sequence = 1;
+    told.servers = {{server, 0, 0, std::nullopt, 0ms, 0, {}, 7, 0ms}};
+    const auto tells = [&instance] {
+        const auto& effects = instance.all_effects();
+        return std::any_of(effects.begin(), effects.end(), [](const auto& effect) {
+            const auto* const message = std::get_if<send_load>(&effect);
+            return message != nullptr && std::any_of(message->load.servers.begin(), message->load.servers.end(),
+                                                     [](const auto& item) { return item.leaving_born != 0; });
+        });
+    };
+    SECTION("told of the present run") {
+        instance.process_event(told);
+        CHECK(requests_at(instance, server, 20) == 0);
+        instance.advance_time(1s);
+        CHECK_FALSE(tells());
+        instance.advance_time(60s);
+        CHECK(requests_at(instance, server, 20) > 0);
+    }
+    SECTION("told of a former run") {
+        told.servers.front().leaving_born = 6;
+        instance.process_event(told);
+        CHECK(requests_at(instance, server, 20) > 0);
+    }
+    SECTION("told of a word that is too old") {
+        told.servers.front().leaving_age = 61s;
+        instance.process_event(told);
+        CHECK(requests_at(instance, server, 20) > 0);
+    }
+    SECTION("heard itself") {
+        instance.signal(instance.request("/get/1"), leaving);
+        instance.advance_time(300ms);
+        CHECK(tells());
+    }
+}
+
+// Guards against keys that stay at an owner that leaves until the store shows it.
+TEST_CASE("the keeper moves the keys of an owner that has told another instance that it leaves", "[signals]") {
+    deployment deployment(3, 4, 11);
+    deployment.run_for(6s);
+    REQUIRE(deployment.held_share() == 1.0);
+    const auto hearer = (deployment.keeper() + 1) % 3;
+    const model::backend_server_id server("server-1");
+    const auto owned = [&] {
+        const auto& ranges = deployment.assignment().ranges;
+        return std::any_of(ranges.begin(), ranges.end(),
+                           [&server](const auto& range) { return range.owner == server || range.leaving == server; });
+    };
+    REQUIRE(owned());
+    auto& state = deployment.state_of(hearer);
+    auto& stated = state.servers.at(server).stated;
+    stated.leaving_since = deployment.now();
+    stated.leaving_heard_at = deployment.now();
+    stated.leaving_heard_here = true;
+    state.stating_servers.insert(server);
+    deployment.run_for(3s);
+    CHECK_FALSE(owned());
+    CHECK(deployment.held_share() == 1.0);
+    CHECK(deployment.violations().empty());
+}
+
 } // namespace lovagetack::routing::testing
--- a/tests/routing/single_instance.hpp
+++ b/tests/routing/single_instance.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "routing/deployment.hpp"
 #include "routing/reduce.hpp"
 #include "routing/samples.hpp"
 
@@ -12,7 +13,6 @@
 
 using namespace std::chrono_literals;
 
-inline const model::service_id keyed_service{"board"};
 inline const model::service_id unkeyed_service{"book"};
 
 /// One instance with two services: `keyed_service` divided by key, `unkeyed_service` not.
