Merge what backend servers state of themselves

The quarantine's probes keep to a pause in quarantine.cpp, where a withheld probe is sent later; an answer that is cut short by a server that has said itself that it leaves gives no strike.

--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -281,6 +281,10 @@
     /// Answers since the last message that showed the duration of work there, and the mean of these durations.
     std::int32_t observations = 0;
     std::chrono::microseconds observed{0};
+    /// The run of the server, by its start, that has told the sender that it leaves, and the age of its word; 0 if none
+    /// has.
+    std::uint64_t leaving_born = 0;
+    std::chrono::milliseconds leaving_age{0};
 };
 
 /// Keys of one service that were requested at an instance since its last message.
@@ -304,6 +308,18 @@
     std::vector<requested_keys> keys;
 };
 
+/// What a backend server states of itself in the head of an answer.
+struct server_signals {
+    /// This run of the server is ending and is to get no more requests.
+    bool leaving = false;
+    /// It wants no requests from this instance for this long; 0 if it states nothing. At most longest_stated_pause.
+    std::chrono::milliseconds pause{0};
+    /// Fields that were ignored or bounded, and why; empty if there are none. For the log.
+    std::string faults;
+
+    [[nodiscard]] bool empty() const { return !leaving && pause.count() == 0 && faults.empty(); }
+};
+
 // Outcomes of attempts.
 
 enum class attempt_outcome : std::uint8_t {
@@ -396,6 +412,9 @@
     int status = 0;
     std::chrono::milliseconds elapsed{0};
     std::optional<reported_load> load;
+    /// What the run of the server that started at `server_born` stated in the answer.
+    server_signals signals;
+    std::uint64_t server_born = 0;
 };
 
 /// Gives a slot back, or takes a request out of the queue.
@@ -474,6 +493,14 @@
     model::attempt_id attempt;
 };
 
+/// The head of the server's answer has arrived and states something of the server. A long answer goes to the caller
+/// from its head on, so this does not wait for the end of the attempt.
+struct signals_received {
+    exchange_id exchange = 0;
+    model::attempt_id attempt;
+    server_signals signals;
+};
+
 /// A part of the server's answer has gone to the caller, so that no other answer can.
 struct answer_forwarding_started {
     exchange_id exchange = 0;
@@ -509,7 +536,7 @@
                  lease_read, rows_written, assignments_read, grant_ended, release_ended, renewal_orders, renewal_report,
                  table_updated, slot_request, slot_answer, slot_release, slot_report, reader_heartbeat,
                  table_change_received, table_changes_wanted, table_changes_unknown, instance_load, request_arrived,
-                 caller_left, connection_dropped, attempt_sent, answer_forwarding_started, attempt_ended, ticked,
-                 shutdown_begun, shutdown_nears_end, shutdown_ends>;
+                 caller_left, connection_dropped, attempt_sent, signals_received, answer_forwarding_started,
+                 attempt_ended, ticked, shutdown_begun, shutdown_nears_end, shutdown_ends>;
 
 } // namespace lovagetack::routing
--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -10,6 +10,8 @@
 #include "routing/exchanges.hpp"
 #include "routing/limits.hpp"
 #include "routing/log_fields.hpp"
+#include "routing/servers.hpp"
+#include "routing/signals.hpp"
 
 namespace lovagetack::routing {
 namespace {
@@ -110,8 +112,11 @@
     }
 }
 
-/// Asks for a probe of the server; false if there was one just now.
+/// Asks for a probe of the server; false if there was one just now, or the server has asked for a pause.
 bool probe(step& step, const server_record& server) {
+    if (is_pausing(server, step.now)) {
+        return false;
+    }
     auto& probed_at = step.state.quarantine.probed_at[server.registration.id];
     if (probed_at != base::boot_time() && step.now - probed_at < probe_pause) {
         return false;
@@ -138,7 +143,7 @@
 /// Whether the server leaves, so that its end is no sign against a request that was cancelled there or had begun its
 /// answer.
 bool is_expected_to_end(const server_record& server) {
-    return server.leaving_since || server.evacuated_since;
+    return is_leaving(server) || server.evacuated_since;
 }
 
 /// Removes the items of runs of the server other than the living one, and returns them.
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -38,6 +38,20 @@
     std::chrono::microseconds sum{0};
 };
 
+/// What a backend server has stated of its present run in its answers.
+struct server_statements {
+    /// When it was first and last heard to say that it leaves.
+    std::optional<base::boot_time> leaving_since;
+    base::boot_time leaving_heard_at;
+    /// This instance had the word from the server itself, not from another instance.
+    bool leaving_heard_here = false;
+    /// It wants no requests from this instance until this time.
+    base::boot_time paused_until;
+    /// Most requests from this instance in progress after the pause, and those that are; 0 for no limit.
+    std::int32_t most_after_pause = 0;
+    std::int32_t sent_after_pause = 0;
+};
+
 /// What this instance knows of one backend server.
 struct server_record {
     backend_server registration;
@@ -48,6 +62,7 @@
     std::optional<base::boot_time> leaving_since;
     std::optional<base::boot_time> evacuated_since;
     base::boot_time cold_until;
+    server_statements stated;
 
     /// Requests in progress at the server: those of this instance, and those that the other instances report.
     std::int32_t outstanding = 0;
@@ -144,6 +159,8 @@
     std::uint64_t server_born = 0;
     model::attempt_id attempt;
     base::boot_time attempt_at;
+    /// What the server has stated in the answer to the attempt.
+    server_signals signals;
     std::int32_t attempts = 0;
     bool sending = false;
     /// A part of the server's answer has gone to the caller.
@@ -484,6 +501,8 @@
     base::boot_time store_reached_since;
     std::set<model::backend_server_id> missing_servers;
     std::map<model::backend_server_id, server_record> servers;
+    /// Servers whose statements are in force; few or none, so that the others cost nothing.
+    std::set<model::backend_server_id> stating_servers;
     std::map<model::service_id, service_record> services;
     std::map<model::instance_id, instance_record> instances;
     std::map<model::instance_id, peer_record> peers;
@@ -515,6 +534,7 @@
     std::map<base::result_code, std::uint64_t> refused;
     std::uint64_t retries = 0;
     std::uint64_t moves = 0;
+    std::uint64_t stated_pauses = 0;
 };
 
 /// Whether callers can be served: configuration, registry and assignments are known.
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -117,6 +117,75 @@
     }
 }
 
+// Guards against an instance that learns that a server leaves only at the end of a long answer, although the caller has
+// had the head of that answer all the while.
+TEST_CASE("what a server states in the head of an answer is reported at once") {
+    fixture test;
+    test.send_caller_request();
+    const auto received = [&test]() -> const routing::signals_received* {
+        for (const auto& event : test.events) {
+            if (const auto* found = std::get_if<routing::signals_received>(&event)) {
+                return found;
+            }
+        }
+        return nullptr;
+    };
+    auto& server = test.server->connection(0);
+    SECTION("in a long answer that has not ended") {
+        server.send(signed_head + "Server-Leaving: 1\r\nContent-Length: 90000\r\n\r\n" + std::string(50000, 'x'));
+        test.caller->wait_for("xxxx");
+        REQUIRE(received() != nullptr);
+        CHECK(received()->exchange == 1);
+        CHECK(received()->attempt == model::attempt_id(1));
+        CHECK(received()->signals.leaving);
+        CHECK(test.ended() == nullptr);
+        // Callers are told as the server has told it.
+        CHECK(test.caller->received().find("Server-Leaving: 1\r\n") != std::string::npos);
+    }
+    SECTION("in a refusal") {
+        server.send("HTTP/1.1 503 Service Unavailable\r\nLovagetack-Request-Id: abc\r\nLovagetack-Not-Executed: 1\r\n"
+                    "Lovagetack-Instance-Id: i-1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n");
+        CHECK(test.outcome() == attempt_outcome::not_run);
+        REQUIRE(received() != nullptr);
+        CHECK(received()->signals.pause == std::chrono::seconds(3));
+    }
+    SECTION("but not what another server at the address states of itself") {
+        server.send("HTTP/1.1 421 Misdirected Request\r\nLovagetack-Request-Id: abc\r\nServer-Leaving: 1\r\n"
+                    "Lovagetack-Instance-Id: i-2\r\nContent-Length: 0\r\n\r\n");
+        CHECK(test.outcome() == attempt_outcome::wrong_server);
+        CHECK(received() == nullptr);
+    }
+    SECTION("nor what an answer to an earlier request states") {
+        server.send("HTTP/1.1 503 Service Unavailable\r\nLovagetack-Request-Id: earlier\r\nRetry-After: 3\r\n"
+                    "Content-Length: 0\r\n\r\n" +
+                    signed_head + "Content-Length: 0\r\n\r\n");
+        CHECK(test.outcome() == attempt_outcome::delivered);
+        CHECK(received() == nullptr);
+    }
+}
+
+// Guards against the use of an attempt that is dropped while it reports the head of its answer.
+TEST_CASE("an attempt may be dropped when the head of its answer is reported") {
+    fixture test;
+    const auto status = GENERATE(as<std::string>(), "200 OK", "503 Service Unavailable");
+    test.reaction = [&test](const routing::event& event) {
+        if (!std::holds_alternative<routing::signals_received>(event)) {
+            return;
+        }
+        test.relay->execute(routing::cancel_attempt{1, model::attempt_id(1)});
+        test.relay->execute(
+            routing::answer_caller{1, 504, base::result_code::request_deadline_passed, std::chrono::milliseconds(0)});
+    };
+    test.send_caller_request();
+    test.server->connection(0).send("HTTP/1.1 " + status +
+                                    "\r\nLovagetack-Request-Id: abc\r\nServer-Leaving: 1\r\nContent-Length: " +
+                                    (status == "200 OK" ? "3\r\n\r\nabc" : "0\r\n\r\n"));
+    test.caller->wait_for("request_deadline_passed");
+    test::settle();
+    CHECK(test.ended() == nullptr);
+    CHECK(test.relay->open_exchanges() == 0);
+}
+
 // Guards against memory that grows while a server in trouble sends bytes without end.
 TEST_CASE("bytes without end that are no answer end the attempt, and nothing of them reaches the caller") {
     fixture test;
@@ -416,7 +485,8 @@
     load.sequence = 5;
     load.is_keeper = true;
     load.servers = {{model::backend_server_id("i-1"), 3, 2, routing::reported_load{1, 2, 3, 150},
-                     std::chrono::milliseconds(9), 4, std::chrono::microseconds(1500)}};
+                     std::chrono::milliseconds(9), 4, std::chrono::microseconds(1500), 1789,
+                     std::chrono::milliseconds(70)}};
     load.keys = {{model::service_id("s"), {1, 65535}}};
     const auto event = load_exchange::decode(QByteArray::fromStdString(load_exchange::encode(load)));
     REQUIRE(event);
@@ -426,6 +496,8 @@
     REQUIRE(decoded.servers.front().load->slowness == 150);
     REQUIRE(decoded.servers.front().load_age == std::chrono::milliseconds(9));
     REQUIRE(decoded.servers.front().observations == 4);
+    REQUIRE(decoded.servers.front().leaving_born == 1789);
+    REQUIRE(decoded.servers.front().leaving_age == std::chrono::milliseconds(70));
     REQUIRE(decoded.servers.front().observed == std::chrono::microseconds(1500));
     REQUIRE(decoded.keys.front().keys.back() == 65535);
     REQUIRE_FALSE(load_exchange::decode("not a message"));
@@ -450,12 +522,19 @@
     };
     routing::slot_release release{model::instance_id("one"), 77, 5, model::backend_server_id("i-1"), std::nullopt};
     REQUIRE_FALSE(std::get<routing::slot_release>(decode(load_exchange::encode(release))).attempt);
-    release.attempt = {routing::attempt_outcome::cut_short, 503, std::chrono::milliseconds(70),
-                       routing::reported_load{1, 2, 3, 150}};
+    release.attempt = {routing::attempt_outcome::cut_short,
+                       503,
+                       std::chrono::milliseconds(70),
+                       routing::reported_load{1, 2, 3, 150},
+                       {true, std::chrono::milliseconds(3000), {}},
+                       9};
     const auto released = std::get<routing::slot_release>(decode(load_exchange::encode(release)));
     REQUIRE(released.attempt->outcome == routing::attempt_outcome::cut_short);
     REQUIRE(released.attempt->elapsed == std::chrono::milliseconds(70));
     REQUIRE(released.attempt->load->slowness == 150);
+    REQUIRE(released.attempt->signals.leaving);
+    REQUIRE(released.attempt->signals.pause == std::chrono::milliseconds(3000));
+    REQUIRE(released.attempt->server_born == 9);
     const routing::slot_answer answer{
         model::instance_id("two"), 5, routing::slot_outcome::queued, {}, std::chrono::milliseconds(30)};
     REQUIRE(std::get<routing::slot_answer>(decode(load_exchange::encode(answer))).outcome ==
