ownership: reserve a new epoch soon after the last one is outdated

Callers got 504 with code 2010 for every key of a data centre, for as long as the table service was away, when its controller was lost within 5 s after it had raised its epoch.

A server that accepted the epoch of a failed claim makes the controller raise its own epoch above all reservations. The other candidates then need new ones, but a candidate looked at this only when its idle read of the controllers row was due, up to 5 s later. When the controller and the table service were lost in between, the remaining candidates had only epochs that the witnesses refuse, and nobody could control the data centre.

Only the read waits for candidate_read_interval now.

--- a/source/ownership/state.hpp
+++ b/source/ownership/state.hpp
@@ -108,6 +108,8 @@
     base::boot_time store_since;
     bool first_store_call_planned = false;
     base::boot_time next_store_call_at;
+    /// When a candidate without other calls to make reads the controllers row again.
+    base::boot_time next_candidate_read_at;
     base::boot_time next_row_read_at;
     /// The assignment rows were read since the claim began, or since a write without an answer.
     bool rows_read = false;
--- a/source/ownership/store.cpp
+++ b/source/ownership/store.cpp
@@ -235,9 +235,14 @@
         state.next_store_call_at = step.now;
         return;
     }
-    state.next_store_call_at =
-        step.now + (state.role == role::candidate ? state.rules.candidate_read_interval : retry / 5);
-    if (state.role == role::candidate) {
+    if (state.role != role::candidate) {
+        state.next_store_call_at = step.now + retry / 5;
+        return;
+    }
+    // Only the read waits for the long interval: until an outdated reservation is replaced, this instance could not
+    // take over from a controller that is lost together with the store.
+    if (step.now >= state.next_candidate_read_at) {
+        state.next_candidate_read_at = step.now + state.rules.candidate_read_interval;
         read(step, operation_kind::read_controller);
     }
 }
--- a/tests/ownership/authority_test.cpp
+++ b/tests/ownership/authority_test.cpp
@@ -102,6 +102,35 @@
     CHECK(served(cluster) == 64);
 }
 
+/// Makes one server refuse the controller, waits until it has raised its epoch, and for `after` longer.
+void raise_epoch(cluster& cluster, std::chrono::milliseconds after) {
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    const auto refused_from = controller->state.epoch.next();
+    cluster.executing(12345).front()->epoch = refused_from;
+    for (int waited = 0; waited < 100 && record_of(cluster).current_epoch <= refused_from; ++waited) {
+        cluster.run(20ms);
+    }
+    REQUIRE(record_of(cluster).current_epoch > refused_from);
+    cluster.run(after);
+}
+
+// Guards against a data centre without a controller while the store is down, since every candidate would have reserved
+// its next epoch only at its next idle read.
+TEST_CASE("candidates reserve new epochs soon after the controller has raised its own") {
+    const auto seed = GENERATE(range(51U, 61U));
+    CAPTURE(seed);
+    cluster cluster({.data_centres = {"a"}, .instances = 2, .seed = seed});
+    cluster.run(8s);
+    raise_epoch(cluster, 1500ms);
+    REQUIRE(served(cluster) == 64);
+    cluster.store.up = false;
+    cluster.kill(*cluster.controller("a"));
+    cluster.run(3s);
+    CHECK(cluster.controller("a") != nullptr);
+    CHECK(served(cluster) == 64);
+}
+
 // Guards against a successor that serves while a request that the home instance sent under its lease still runs.
 TEST_CASE("failover of an unchecked server waits for the home lease and the longest deadline") {
     cluster cluster({.data_centres = {"a"}, .seed = 45, .checks_grants = false});
