ownership: move the outdated reservations with the epoch that outdates them

Callers got 504 with code 2010 for every key of a data centre, for as long as the table service was away, when its controller and the table service were lost just after the controller had raised its epoch.

A raise takes an epoch above all reservations, so that no other candidate had a usable one until it had written a new one, which takes up to 1 s and needs the table service. The same holds for a candidate with a lower reservation than the one that took over.

A write that sets a higher current epoch now moves the outdated reservations of the other candidates above it, in the same transaction; candidates follow when they learn the row. The epochs come from next_epoch, so each is still handed out once. Two processes of one name must not claim with the same epoch: the entry keeps the epoch that its process wrote (reserved), and only a process that wrote that one follows, and never to an epoch that it has claimed already.

--- a/source/model/assignment.hpp
+++ b/source/model/assignment.hpp
@@ -73,6 +73,9 @@
 struct epoch_reservation {
     instance_id candidate;
     model::epoch epoch;
+    /// The epoch that the candidate wrote itself, before controllers moved the reservation above their own epoch. It is
+    /// unique, so it tells which process of that name holds the reservation.
+    model::epoch reserved;
 
     bool operator==(const epoch_reservation&) const = default;
 };
@@ -142,5 +145,6 @@
 struct lovagetack::base::fields_of<lovagetack::model::epoch_reservation> {
     static constexpr std::string_view name = "epoch_reservation";
     static constexpr auto list = std::make_tuple(make_field("candidate", &model::epoch_reservation::candidate),
-                                                 make_field("epoch", &model::epoch_reservation::epoch));
+                                                 make_field("epoch", &model::epoch_reservation::epoch),
+                                                 make_field("reserved", &model::epoch_reservation::reserved));
 };
--- a/source/ownership/state.hpp
+++ b/source/ownership/state.hpp
@@ -86,6 +86,8 @@
     /// Start of the role controller, when the authority was gained.
     base::boot_time term_start;
     std::optional<model::epoch> reservation;
+    /// The epoch of the last reservation that this process wrote itself; see model::epoch_reservation::reserved.
+    std::optional<model::epoch> reserved_epoch;
     model::epoch highest_epoch_seen;
     std::optional<base::boot_time> last_heartbeat_at;
     model::instance_id heartbeat_sender;
--- a/source/ownership/store.cpp
+++ b/source/ownership/store.cpp
@@ -29,6 +29,17 @@
         model::publish_fact{model::fact{kind, std::move(name), model::fact_version{0, version}, std::move(value)}});
 }
 
+/// Follows the own reservation when a controller has moved it. An epoch that was claimed already is not taken again.
+void follow_moved_reservation(state& state) {
+    for (const auto& reservation : state.record.reservations) {
+        const bool own =
+            reservation.candidate == state.id && state.reserved_epoch && reservation.reserved == *state.reserved_epoch;
+        if (own && state.role == role::candidate && reservation.epoch > state.epoch) {
+            state.reservation = reservation.epoch;
+        }
+    }
+}
+
 bool update_known_record(step& step, std::uint64_t version, const model::controller_record& record) {
     auto& state = step.state;
     if (version <= state.record_version) {
@@ -40,6 +51,7 @@
     if (state.role != role::candidate && record.current_epoch > state.epoch) {
         step_down(step, "the store records a higher epoch");
     }
+    follow_moved_reservation(state);
     return true;
 }
 
@@ -108,19 +120,29 @@
     });
 }
 
-void remove_stale_reservations(const state& state, model::controller_record& record) {
-    std::erase_if(record.reservations, [&](const model::epoch_reservation& reservation) {
-        return reservation.candidate == state.id || reservation.epoch <= record.current_epoch ||
-               has_left_or_is_unreachable(state, reservation.candidate);
+/// Removes the reservations of this instance and of lost ones, and moves those that are not above the current epoch
+/// above it in their order. A candidate can then take over without having written a new reservation.
+void renew_reservations(const state& state, model::controller_record& record) {
+    auto& reservations = record.reservations;
+    std::erase_if(reservations, [&](const model::epoch_reservation& reservation) {
+        return reservation.candidate == state.id || has_left_or_is_unreachable(state, reservation.candidate);
     });
+    std::sort(reservations.begin(), reservations.end(),
+              [](const auto& left, const auto& right) { return left.epoch < right.epoch; });
+    for (auto& reservation : reservations) {
+        if (reservation.epoch <= record.current_epoch) {
+            reservation.epoch = record.next_epoch;
+            record.next_epoch = record.next_epoch.next();
+        }
+    }
 }
 
 void reserve_epoch(step& step) {
     auto& state = step.state;
     auto record = state.record;
-    remove_stale_reservations(state, record);
+    renew_reservations(state, record);
     const auto epoch = std::max(record.next_epoch, state.highest_epoch_seen.next());
-    record.reservations.push_back({state.id, epoch});
+    record.reservations.push_back({state.id, epoch, epoch});
     record.next_epoch = epoch.next();
     write_record(step, std::move(record));
 }
@@ -166,7 +188,7 @@
         record.current_epoch = state.epoch;
         record.next_epoch = std::max(record.next_epoch, state.epoch.next());
         record.holder = state.id;
-        remove_stale_reservations(state, record);
+        renew_reservations(state, record);
     }
     const bool renew = record.witnesses.empty() && (!state.store_lease_from || step.now - *state.store_lease_from >
                                                                                    state.rules.store_lease_time / 3);
@@ -194,6 +216,7 @@
     record.current_epoch = std::max(record.next_epoch, state.highest_epoch_seen.next());
     record.next_epoch = record.current_epoch.next();
     record.holder = state.id;
+    renew_reservations(state, record);
     write_record(step, std::move(record));
     return true;
 }
@@ -339,6 +362,7 @@
     for (const auto& reservation : operation.record.reservations) {
         if (reservation.candidate == state.id && state.role == role::candidate) {
             state.reservation = reservation.epoch;
+            state.reserved_epoch = reservation.reserved;
         }
     }
     if (is_first) {
--- a/tests/ownership/authority_test.cpp
+++ b/tests/ownership/authority_test.cpp
@@ -131,6 +131,55 @@
     CHECK(served(cluster) == 64);
 }
 
+// Guards against a raised epoch that leaves no candidate with a usable reservation until each has written a new one.
+TEST_CASE("a raised epoch moves the reservations of the candidates above it") {
+    const auto seed = GENERATE(range(61U, 71U));
+    CAPTURE(seed);
+    cluster cluster({.data_centres = {"a"}, .instances = 2, .seed = seed});
+    cluster.run(8s);
+    raise_epoch(cluster, 20ms);
+    cluster.store.up = false;
+    cluster.kill(*cluster.controller("a"));
+    cluster.run(3s);
+    CHECK(cluster.controller("a") != nullptr);
+    CHECK(served(cluster) == 64);
+}
+
+// Guards against two processes of one name that claim with the same epoch: the later one of a replaced instance must
+// not take over a reservation of the former one.
+TEST_CASE("only the process that made a reservation follows it when it is moved") {
+    const auto seed = GENERATE(range(71U, 81U));
+    CAPTURE(seed);
+    cluster cluster({.data_centres = {"a"}, .instances = 2, .seed = seed});
+    cluster.run(8s);
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    auto& first = cluster.nodes.begin()->second;
+    auto& candidate = &first == controller ? std::next(cluster.nodes.begin())->second : first;
+    REQUIRE(candidate.state.reservation.has_value());
+
+    // Other processes of the candidate's name know the same rows and members: one never reserved an epoch, the other
+    // one did before.
+    ownership::state later(candidate.state.id, candidate.state.data_centre, model::incarnation(2), {});
+    later.members = candidate.state.members;
+    auto former = later;
+    former.reservation = model::epoch(1);
+    former.reserved_epoch = model::epoch(1);
+    raise_epoch(cluster, 20ms);
+    const auto& row = cluster.store.rows.at({"controllers", "a"});
+    const model::fact fact{model::fact_kind::controller, "a", {0, row.version}, row.value};
+    (void)ownership::reduce(later, cluster.now, 0, model::fact_learned{fact});
+    (void)ownership::reduce(former, cluster.now, 0, model::fact_learned{fact});
+
+    const auto record = record_of(cluster);
+    REQUIRE(record.reservations.size() == 1);
+    CHECK(record.reservations.front().candidate == candidate.state.id);
+    CHECK(record.reservations.front().epoch > record.current_epoch);
+    CHECK(candidate.state.reservation == record.reservations.front().epoch);
+    CHECK_FALSE(later.reservation.has_value());
+    CHECK(former.reservation == model::epoch(1));
+}
+
 // Guards against a successor that serves while a request that the home instance sent under its lease still runs.
 TEST_CASE("failover of an unchecked server waits for the home lease and the longest deadline") {
     cluster cluster({.data_centres = {"a"}, .seed = 45, .checks_grants = false});
