ownership: test the prompt reservation apart from moved ones

Moved reservations let the test of the prompt reservation pass without its fix, since the raise no longer outdates any. The new test outdates a reservation by an epoch that is only heard of, which no controller moves.

--- a/tests/ownership/authority_test.cpp
+++ b/tests/ownership/authority_test.cpp
@@ -131,6 +131,23 @@
     CHECK(served(cluster) == 64);
 }
 
+// Guards against a candidate that keeps a reservation that the witnesses would refuse until its next idle read. No
+// controller moves this one, since it is above the current epoch in the store.
+TEST_CASE("a candidate soon replaces a reservation below an epoch that it has heard of") {
+    const auto seed = GENERATE(range(81U, 91U));
+    CAPTURE(seed);
+    cluster cluster({.data_centres = {"a"}, .instances = 2, .seed = seed});
+    cluster.run(8s);
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    auto& first = cluster.nodes.begin()->second;
+    auto& candidate = &first == controller ? std::next(cluster.nodes.begin())->second : first;
+    const model::epoch heard(50);
+    cluster.deliver(candidate.state.id, ownership::controller_heard{controller->state.id, heard});
+    cluster.run(1500ms);
+    CHECK(candidate.state.reservation.value_or(model::epoch()) > heard);
+}
+
 // Guards against a raised epoch that leaves no candidate with a usable reservation until each has written a new one.
 TEST_CASE("a raised epoch moves the reservations of the candidates above it") {
     const auto seed = GENERATE(range(61U, 71U));
