ownership: an epoch that is claimed again goes on with its numbers

A controller that took over by a reservation while the table service was away, lost the majority of its witnesses for longer than claim_timeout and claimed with the same epoch again numbered its activations from 1. Other instances have known higher ones of that epoch, and ignored the new ones: they kept routes of the former term.

Only a claim of another epoch starts the numbers again.

The new test fails without the change (activation 2 after 6) and passes with it. Seen by reading, not in a run.

--- a/source/ownership/election.cpp
+++ b/source/ownership/election.cpp
@@ -211,11 +211,14 @@
 void claim(step& step, model::epoch epoch) {
     auto& state = step.state;
     state.role = role::claimant;
+    // An epoch that is claimed again goes on with its numbers: instances ignore lower ones.
+    if (epoch != state.epoch) {
+        state.fence_sequence = 0;
+        state.activation_sequence = 0;
+    }
     state.epoch = epoch;
     state.claim_since = step.now;
     state.highest_epoch_seen = std::max(state.highest_epoch_seen, epoch);
-    state.fence_sequence = 0;
-    state.activation_sequence = 0;
     state.store_lease_from.reset();
     reset_term(state);
     for (auto& [id, view] : state.servers) {
--- a/tests/ownership/authority_test.cpp
+++ b/tests/ownership/authority_test.cpp
@@ -197,6 +197,38 @@
     CHECK(former.reservation == model::epoch(1));
 }
 
+// Guards against activations that every instance ignores, since a controller that claims its epoch again numbers them
+// from 1 again.
+TEST_CASE("a controller that claims its epoch again publishes activations above the former ones") {
+    cluster cluster({.data_centres = {"a"}, .instances = 2, .seed = 92});
+    cluster.run(8s);
+    cluster.store.up = false;
+    cluster.kill(*cluster.controller("a"));
+    cluster.run(3s);
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    const auto epoch = controller->state.epoch;
+    // A failover and a return raise the number of the last activation above those of the next term.
+    auto& lost = *cluster.executing(12345).front();
+    lost.down = true;
+    cluster.run(2s);
+    lost.restart(cluster.now);
+    cluster.run(4s);
+    const auto last = controller->state.activation_sequence;
+    for (auto& [id, server] : cluster.servers) {
+        server.frozen_until = cluster.now + 3s;
+    }
+    cluster.run(6s);
+    REQUIRE(cluster.controller("a") == controller);
+    REQUIRE(controller->state.epoch == epoch);
+    REQUIRE(controller->entries.at("controller_claim") > 1);
+    CHECK(controller->state.activation_sequence > last);
+    const auto& known = controller->state.activations.at({board, model::data_centre_id("a")});
+    CHECK(known.value.ranges == controller->state.published.at(board));
+    CHECK(known.version == model::fact_version{epoch.value(), controller->state.activation_sequence});
+    CHECK(controller->facts.at({model::fact_kind::activation, "board.a"}).version == known.version);
+}
+
 // Guards against a successor that serves while a request that the home instance sent under its lease still runs.
 TEST_CASE("failover of an unchecked server waits for the home lease and the longest deadline") {
     cluster cluster({.data_centres = {"a"}, .seed = 45, .checks_grants = false});
