ownership: a replaced controller keeps the activation of its successor

An instance sent requests by outdated routes until the next activation of its data centre, possibly for long.

A controller keeps its authority for up to 300 ms after a later one has gained its own. When it had already learned the activation of the later one and then published one more of its own, it put its own in the place of the higher version. A fact is not delivered twice, so the later one did not come back.

The own activation is now kept only if its version is higher than the known one.

--- a/source/ownership/activations.cpp
+++ b/source/ownership/activations.cpp
@@ -54,8 +54,12 @@
     step.effects.emplace_back(
         model::publish_fact{model::fact{model::fact_kind::activation, service.value() + "." + state.data_centre.value(),
                                         version, base::to_json_text(value)}});
-    state.activations[{service, state.data_centre}] = {version, std::move(value)};
-    state.routes_outdated = true;
+    // A later controller may already be known while the authority of this one lasts.
+    auto& known = state.activations[{service, state.data_centre}];
+    if (version > known.version) {
+        known = {version, std::move(value)};
+        state.routes_outdated = true;
+    }
 }
 
 /// The active ranges of all data centres. Sorted first, so that each one is added at the end unless some overlap.
--- a/tests/ownership/authority_test.cpp
+++ b/tests/ownership/authority_test.cpp
@@ -197,6 +197,25 @@
     CHECK(former.reservation == model::epoch(1));
 }
 
+// Guards against a controller that has been replaced, still has authority for a moment and puts its own activation in
+// place of the later one: no fact is delivered twice, so its routes would stay out of date.
+TEST_CASE("a replaced controller keeps the activation of a later epoch that it has learned") {
+    cluster cluster({.data_centres = {"a"}, .seed = 91});
+    cluster.run(6s);
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    const auto id = controller->state.id;
+    const auto& known = controller->state.activations.at({board, model::data_centre_id("a")});
+    const auto published = controller->state.activation_sequence;
+    const auto later = controller->state.epoch.next().value();
+    const model::fact fact{model::fact_kind::activation, "board.a", {later, 1}, base::to_json_text(known.value)};
+    cluster.deliver(id, model::fact_learned{fact});
+    cluster.executing(12345).front()->down = true;
+    cluster.run(2s);
+    REQUIRE(controller->state.activation_sequence > published);
+    CHECK(known.version == model::fact_version{later, 1});
+}
+
 // Guards against activations that every instance ignores, since a controller that claims its epoch again numbers them
 // from 1 again.
 TEST_CASE("a controller that claims its epoch again publishes activations above the former ones") {
