--- a/source/ownership/state.hpp
+++ b/source/ownership/state.hpp
@@ -86,6 +86,8 @@
     /// Start of the role controller, when the authority was gained.
     base::boot_time term_start;
     std::optional<model::epoch> reservation;
+    /// The epoch of the last reservation that this process wrote itself; see model::epoch_reservation::reserved.
+    std::optional<model::epoch> reserved_epoch;
     model::epoch highest_epoch_seen;
     std::optional<base::boot_time> last_heartbeat_at;
     model::instance_id heartbeat_sender;
@@ -108,6 +110,8 @@
     base::boot_time store_since;
     bool first_store_call_planned = false;
     base::boot_time next_store_call_at;
+    /// When a candidate without other calls to make reads the controllers row again.
+    base::boot_time next_candidate_read_at;
     base::boot_time next_row_read_at;
     /// The assignment rows were read since the claim began, or since a write without an answer.
     bool rows_read = false;
--- a/tests/ownership/authority_test.cpp
+++ b/tests/ownership/authority_test.cpp
@@ -102,6 +102,152 @@
     CHECK(served(cluster) == 64);
 }
 
+/// Makes one server refuse the controller, waits until it has raised its epoch, and for `after` longer.
+void raise_epoch(cluster& cluster, std::chrono::milliseconds after) {
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    const auto refused_from = controller->state.epoch.next();
+    cluster.executing(12345).front()->epoch = refused_from;
+    for (int waited = 0; waited < 100 && record_of(cluster).current_epoch <= refused_from; ++waited) {
+        cluster.run(20ms);
+    }
+    REQUIRE(record_of(cluster).current_epoch > refused_from);
+    cluster.run(after);
+}
+
+// Guards against a data centre without a controller while the store is down, since every candidate would have reserved
+// its next epoch only at its next idle read.
+TEST_CASE("candidates reserve new epochs soon after the controller has raised its own") {
+    const auto seed = GENERATE(range(51U, 61U));
+    CAPTURE(seed);
+    cluster cluster({.data_centres = {"a"}, .instances = 2, .seed = seed});
+    cluster.run(8s);
+    raise_epoch(cluster, 1500ms);
+    REQUIRE(served(cluster) == 64);
+    cluster.store.up = false;
+    cluster.kill(*cluster.controller("a"));
+    cluster.run(3s);
+    CHECK(cluster.controller("a") != nullptr);
+    CHECK(served(cluster) == 64);
+}
+
+// Guards against a candidate that keeps a reservation that the witnesses would refuse until its next idle read. No
+// controller moves this one, since it is above the current epoch in the store.
+TEST_CASE("a candidate soon replaces a reservation below an epoch that it has heard of") {
+    const auto seed = GENERATE(range(81U, 91U));
+    CAPTURE(seed);
+    cluster cluster({.data_centres = {"a"}, .instances = 2, .seed = seed});
+    cluster.run(8s);
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    auto& first = cluster.nodes.begin()->second;
+    auto& candidate = &first == controller ? std::next(cluster.nodes.begin())->second : first;
+    const model::epoch heard(50);
+    cluster.deliver(candidate.state.id, ownership::controller_heard{controller->state.id, heard});
+    cluster.run(1500ms);
+    CHECK(candidate.state.reservation.value_or(model::epoch()) > heard);
+}
+
+// Guards against a raised epoch that leaves no candidate with a usable reservation until each has written a new one.
+TEST_CASE("a raised epoch moves the reservations of the candidates above it") {
+    const auto seed = GENERATE(range(61U, 71U));
+    CAPTURE(seed);
+    cluster cluster({.data_centres = {"a"}, .instances = 2, .seed = seed});
+    cluster.run(8s);
+    raise_epoch(cluster, 20ms);
+    cluster.store.up = false;
+    cluster.kill(*cluster.controller("a"));
+    cluster.run(3s);
+    CHECK(cluster.controller("a") != nullptr);
+    CHECK(served(cluster) == 64);
+}
+
+// Guards against two processes of one name that claim with the same epoch: the later one of a replaced instance must
+// not take over a reservation of the former one.
+TEST_CASE("only the process that made a reservation follows it when it is moved") {
+    const auto seed = GENERATE(range(71U, 81U));
+    CAPTURE(seed);
+    cluster cluster({.data_centres = {"a"}, .instances = 2, .seed = seed});
+    cluster.run(8s);
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    auto& first = cluster.nodes.begin()->second;
+    auto& candidate = &first == controller ? std::next(cluster.nodes.begin())->second : first;
+    REQUIRE(candidate.state.reservation.has_value());
+
+    // Other processes of the candidate's name know the same rows and members: one never reserved an epoch, the other
+    // one did before.
+    ownership::state later(candidate.state.id, candidate.state.data_centre, model::incarnation(2), {});
+    later.members = candidate.state.members;
+    auto former = later;
+    former.reservation = model::epoch(1);
+    former.reserved_epoch = model::epoch(1);
+    raise_epoch(cluster, 20ms);
+    const auto& row = cluster.store.rows.at({"controllers", "a"});
+    const model::fact fact{model::fact_kind::controller, "a", {0, row.version}, row.value};
+    (void)ownership::reduce(later, cluster.now, 0, model::fact_learned{fact});
+    (void)ownership::reduce(former, cluster.now, 0, model::fact_learned{fact});
+
+    const auto record = record_of(cluster);
+    REQUIRE(record.reservations.size() == 1);
+    CHECK(record.reservations.front().candidate == candidate.state.id);
+    CHECK(record.reservations.front().epoch > record.current_epoch);
+    CHECK(candidate.state.reservation == record.reservations.front().epoch);
+    CHECK_FALSE(later.reservation.has_value());
+    CHECK(former.reservation == model::epoch(1));
+}
+
+// Guards against a controller that has been replaced, still has authority for a moment and puts its own activation in
+// place of the later one: no fact is delivered twice, so its routes would stay out of date.
+TEST_CASE("a replaced controller keeps the activation of a later epoch that it has learned") {
+    cluster cluster({.data_centres = {"a"}, .seed = 91});
+    cluster.run(6s);
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    const auto id = controller->state.id;
+    const auto& known = controller->state.activations.at({board, model::data_centre_id("a")});
+    const auto published = controller->state.activation_sequence;
+    const auto later = controller->state.epoch.next().value();
+    const model::fact fact{model::fact_kind::activation, "board.a", {later, 1}, base::to_json_text(known.value)};
+    cluster.deliver(id, model::fact_learned{fact});
+    cluster.executing(12345).front()->down = true;
+    cluster.run(2s);
+    REQUIRE(controller->state.activation_sequence > published);
+    CHECK(known.version == model::fact_version{later, 1});
+}
+
+// Guards against activations that every instance ignores, since a controller that claims its epoch again numbers them
+// from 1 again.
+TEST_CASE("a controller that claims its epoch again publishes activations above the former ones") {
+    cluster cluster({.data_centres = {"a"}, .instances = 2, .seed = 92});
+    cluster.run(8s);
+    cluster.store.up = false;
+    cluster.kill(*cluster.controller("a"));
+    cluster.run(3s);
+    auto* controller = cluster.controller("a");
+    REQUIRE(controller != nullptr);
+    const auto epoch = controller->state.epoch;
+    // A failover and a return raise the number of the last activation above those of the next term.
+    auto& lost = *cluster.executing(12345).front();
+    lost.down = true;
+    cluster.run(2s);
+    lost.restart(cluster.now);
+    cluster.run(4s);
+    const auto last = controller->state.activation_sequence;
+    for (auto& [id, server] : cluster.servers) {
+        server.frozen_until = cluster.now + 3s;
+    }
+    cluster.run(6s);
+    REQUIRE(cluster.controller("a") == controller);
+    REQUIRE(controller->state.epoch == epoch);
+    REQUIRE(controller->entries.at("controller_claim") > 1);
+    CHECK(controller->state.activation_sequence > last);
+    const auto& known = controller->state.activations.at({board, model::data_centre_id("a")});
+    CHECK(known.value.ranges == controller->state.published.at(board));
+    CHECK(known.version == model::fact_version{epoch.value(), controller->state.activation_sequence});
+    CHECK(controller->facts.at({model::fact_kind::activation, "board.a"}).version == known.version);
+}
+
 // Guards against a successor that serves while a request that the home instance sent under its lease still runs.
 TEST_CASE("failover of an unchecked server waits for the home lease and the longest deadline") {
     cluster cluster({.data_centres = {"a"}, .seed = 45, .checks_grants = false});
