routing: one piece of code makes the suspicion of a request

suspect_request and note_cancelled_request built the same suspicion and both turned it into a strike if the registry had shown the end of the run already.

--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -80,6 +80,18 @@
     }
 }
 
+/// The suspicion that the request ends the server. Nothing if the registry has shown the end of the run already: it
+/// does not show it again, so that is reported as a strike.
+std::optional<suspicion> suspect_living_run(step& step, const exchange& exchange, const server_record& server) {
+    suspicion suspicion{exchange.request.fingerprint, shown_target(exchange), exchange.server, exchange.server_born,
+                        step.now};
+    if (server.registration.born == exchange.server_born) {
+        return suspicion;
+    }
+    report_strike(step, suspicion);
+    return std::nullopt;
+}
+
 /// Tells the collectors that the request has ended well, although servers are said to end under it.
 void object(step& step, request_fingerprint request, base::boot_time good_end) {
     const quarantine_objection objection{request, in_whole_milliseconds(step.now - good_end)};
@@ -235,17 +247,14 @@
     if (outcome == attempt_outcome::cut_short && is_expected_to_end(server->second)) {
         return;
     }
-    const suspicion suspicion{exchange.request.fingerprint, shown_target(exchange), exchange.server,
-                              exchange.server_born, step.now};
-    if (server->second.registration.born != exchange.server_born) {
-        // The registry has shown the end already and does not show it again.
-        report_strike(step, suspicion);
+    const auto suspicion = suspect_living_run(step, exchange, server->second);
+    if (!suspicion) {
         return;
     }
     if (quarantine.suspicions.size() >= most_suspicions) {
         quarantine.suspicions.pop_front();
     }
-    quarantine.suspicions.push_back(suspicion);
+    quarantine.suspicions.push_back(*suspicion);
     quarantine.suspicions.back().needs_probe = !probe(step, server->second);
 }
 
@@ -258,21 +267,19 @@
         is_expected_to_end(server->second)) {
         return;
     }
-    const suspicion suspicion{exchange.request.fingerprint, shown_target(exchange), exchange.server,
-                              exchange.server_born, step.now};
-    if (server->second.registration.born != exchange.server_born) {
-        report_strike(step, suspicion);
+    const auto suspicion = suspect_living_run(step, exchange, server->second);
+    if (!suspicion) {
         return;
     }
     // Callers that repeat one request at one server take one entry.
     std::erase_if(cancelled, [&suspicion](const auto& item) {
-        return item.request == suspicion.request && item.server == suspicion.server &&
-               item.server_born == suspicion.server_born;
+        return item.request == suspicion->request && item.server == suspicion->server &&
+               item.server_born == suspicion->server_born;
     });
     if (cancelled.size() >= most_cancelled_requests) {
         cancelled.pop_front();
     }
-    cancelled.push_back(suspicion);
+    cancelled.push_back(*suspicion);
 }
 
 void note_unreachable_server(step& step, const model::backend_server_id& server) {
