base: one function makes foreign text printable for the log

Behaviour is the same: test_operators_platform (30 cases) and the tests of routing but ownership's (106 cases) pass.

--- a/source/routing/quarantine.cpp
+++ b/source/routing/quarantine.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/key_hash.hpp"
+#include "base/printable_text.hpp"
 #include "routing/exchanges.hpp"
 #include "routing/limits.hpp"
 #include "routing/log_fields.hpp"
@@ -57,11 +58,8 @@
 
 /// Host and path in printable ASCII: protobuf rejects a message with other bytes, and the query may be private.
 std::string shown_target(const exchange& exchange) {
-    auto target = exchange.request.host + exchange.request.path.substr(0, exchange.request.path.find('?'));
-    target.resize(std::min(target.size(), longest_target));
-    std::replace_if(
-        target.begin(), target.end(), [](char byte) { return byte < ' ' || byte > '~'; }, '?');
-    return target;
+    const auto path = exchange.request.path.substr(0, exchange.request.path.find('?'));
+    return base::printable_text(exchange.request.host + path, longest_target);
 }
 
 void report_strike(step& step, const suspicion& suspicion) {
