--- a/tests/ownership/authority_test.cpp
+++ b/tests/ownership/authority_test.cpp
@@ -102,6 +102,12 @@
     CHECK(served(cluster) == 64);
 }
 
+/// The other one of two nodes.
+cluster::node& other_node(cluster& cluster, const cluster::node& node) {
+    auto& first = cluster.nodes.begin()->second;
+    return &first == &node ? std::next(cluster.nodes.begin())->second : first;
+}
+
 /// Makes one server refuse the controller, waits until it has raised its epoch, and for `after` longer.
 void raise_epoch(cluster& cluster, std::chrono::milliseconds after) {
     auto* controller = cluster.controller("a");
@@ -140,8 +146,7 @@
     cluster.run(8s);
     auto* controller = cluster.controller("a");
     REQUIRE(controller != nullptr);
-    auto& first = cluster.nodes.begin()->second;
-    auto& candidate = &first == controller ? std::next(cluster.nodes.begin())->second : first;
+    auto& candidate = other_node(cluster, *controller);
     const model::epoch heard(50);
     cluster.deliver(candidate.state.id, ownership::controller_heard{controller->state.id, heard});
     cluster.run(1500ms);
@@ -171,8 +176,7 @@
     cluster.run(8s);
     auto* controller = cluster.controller("a");
     REQUIRE(controller != nullptr);
-    auto& first = cluster.nodes.begin()->second;
-    auto& candidate = &first == controller ? std::next(cluster.nodes.begin())->second : first;
+    auto& candidate = other_node(cluster, *controller);
     REQUIRE(candidate.state.reservation.has_value());
 
     // Other processes of the candidate's name know the same rows and members: one never reserved an epoch, the other
--- a/tests/routing/single_instance.hpp
+++ b/tests/routing/single_instance.hpp
@@ -84,25 +84,9 @@
     }
 
     /// Attempts that were sent for the request.
-    std::vector<send_request> sent(exchange_id id) const {
-        std::vector<send_request> found;
-        for (const auto& effect : effects_) {
-            if (const auto* send = std::get_if<send_request>(&effect); send != nullptr && send->exchange == id) {
-                found.push_back(*send);
-            }
-        }
-        return found;
-    }
+    std::vector<send_request> sent(exchange_id id) const { return effects_of<send_request>(id); }
 
-    std::vector<answer_caller> answers(exchange_id id) const {
-        std::vector<answer_caller> found;
-        for (const auto& effect : effects_) {
-            if (const auto* answer = std::get_if<answer_caller>(&effect); answer != nullptr && answer->exchange == id) {
-                found.push_back(*answer);
-            }
-        }
-        return found;
-    }
+    std::vector<answer_caller> answers(exchange_id id) const { return effects_of<answer_caller>(id); }
 
     template <class Effect>
     std::size_t count() const {
@@ -136,6 +120,17 @@
     routing::state& state() { return state_; }
 
 private:
+    template <class Effect>
+    std::vector<Effect> effects_of(exchange_id id) const {
+        std::vector<Effect> found;
+        for (const auto& effect : effects_) {
+            if (const auto* body = std::get_if<Effect>(&effect); body != nullptr && body->exchange == id) {
+                found.push_back(*body);
+            }
+        }
+        return found;
+    }
+
     routing::state state_;
     base::boot_time now_{1000s};
     exchange_id last_ = 0;
