--- a/review/standins/late_copies.cpp
+++ b/review/standins/late_copies.cpp
@@ -40,7 +40,7 @@
 protected:
     milliseconds work_time(const message&) override {
         const std::lock_guard<std::mutex> lock(mutex_);
-        return milliseconds(60 + random_() % 240);
+        return milliseconds(100 + random_() % 400);
     }
 
     void granted(std::uint32_t first, std::uint32_t last, std::uint64_t fence) override {
@@ -59,6 +59,10 @@
             }
         }
         const std::lock_guard<std::mutex> lock(mutex_);
+        if (fences_seen_.insert(fence).second) {
+            record_.add("%s: first grant of %u to %u (fence %llu)", id.c_str(), first, last,
+                        static_cast<unsigned long long>(fence));
+        }
         for (auto key = first; key <= last; ++key) {
             granted_until_[key] = now_ms() + 2400;
         }
@@ -119,6 +123,7 @@
     std::mutex mutex_;
     std::mt19937 random_;
     std::map<std::uint32_t, long long> granted_until_;
+    std::set<std::uint64_t> fences_seen_;
     /// Copies that it may make: its part of the answers so far in this span, less the copies.
     double allowance_ = 0;
     /// Answers of which a copy goes out with the next call on the connection.
@@ -223,26 +228,19 @@
     }
     std::mt19937 random(7);
     const auto begun = now_ms();
-    long long next_evacuation = 0;
-    std::string evacuated;
-    std::size_t turn = 0;
-    while (now_ms() - begun < seconds * 1000LL) {
-        const auto time = now_ms() - begun;
-        if (time >= next_evacuation) {
-            next_evacuation = time + (evacuated.empty() ? 5000 : 3000);
-            if (evacuated.empty()) {
-                evacuated = zones[turn++ % zones.size()];
-                choose_faulty(endpoints, trouble ? evacuated : "", random);
-                platform.put("op", "evacuate/" + evacuated, "{}");
-                record.add("the operator evacuates %s", evacuated.c_str());
-            } else {
-                platform.remove("op", "evacuate/" + evacuated);
-                choose_faulty(endpoints, "", random);
-                record.add("the operator takes %s back", evacuated.c_str());
-                evacuated.clear();
-            }
-        }
-        std::this_thread::sleep_for(milliseconds(50));
+    const auto rest = [&](int time) { std::this_thread::sleep_for(milliseconds(time)); };
+    for (std::size_t turn = 0; now_ms() - begun < seconds * 1000LL; ++turn) {
+        // A span of five seconds in which endpoints copy answers, in the midst of which a data centre is evacuated.
+        const auto& zone = zones[turn % zones.size()];
+        choose_faulty(endpoints, trouble ? zone : "", random);
+        rest(3000);
+        platform.put("op", "evacuate/" + zone, "{}");
+        record.add("the operator evacuates %s", zone.c_str());
+        rest(2000);
+        choose_faulty(endpoints, "", random);
+        rest(3000);
+        platform.remove("op", "evacuate/" + zone);
+        record.add("the operator takes %s back", zone.c_str());
     }
     stop = true;
     for (auto& item : callers) {
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -8,6 +8,8 @@
                     int seconds);
 int run_log_reader(const std::string& program, const std::string& folder, const std::string& record_name, bool trouble);
 int run_silence(const std::string& program, const std::string& folder, const std::string& record_name, bool trouble);
+int run_silent_store(const std::string& program, const std::string& folder, const std::string& record_name,
+                     bool trouble);
 
 int main(int argc, char** argv) {
     if (argc < 5) {
@@ -29,6 +31,9 @@
     if (name == "silence") {
         result = run_silence(argv[2], argv[3], argv[4], trouble);
     }
+    if (name == "silent-store") {
+        result = run_silent_store(argv[2], argv[3], argv[4], trouble);
+    }
     // Threads of the stand-ins may still wait for calls.
     std::_Exit(result);
 }
--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -76,6 +76,9 @@
         changed_.notify_all();
     }
 
+    /// The connections that are open now deliver nothing more, in either direction, and are not closed.
+    void silence_connections() { silent_before_ = ++connections_; }
+
 private:
     struct row {
         std::string value;
@@ -137,27 +140,34 @@
         }
     }
 
-    void answer(connection& peer, int status, const std::string& body) {
+    void answer(connection& peer, int number, int status, const std::string& body) {
         std::this_thread::sleep_for(milliseconds(4));
+        if (number < silent_before_) {
+            std::this_thread::sleep_for(std::chrono::hours(1));
+        }
         peer.write(answer_text(status, status == 200 ? "OK" : "Precondition Failed",
                                "Content-Type: application/json\r\nStore-Era: 1\r\n", body));
     }
 
     void serve(connection& peer) {
+        const int number = ++connections_;
         message call;
         while (peer.read(call, steady::now() + std::chrono::hours(1))) {
+            if (number < silent_before_) {
+                std::this_thread::sleep_for(std::chrono::hours(1));
+            }
             const auto target = call.target();
             const auto path = target.substr(0, target.find('?'));
             if (path == "/v1/rows-get") {
-                answer(peer, 200, read_rows(target));
+                answer(peer, number, 200, read_rows(target));
             } else if (path == "/v1/rows-feed") {
-                answer(peer, 200, feed(target));
+                answer(peer, number, 200, feed(target));
             } else if (path == "/v1/rows-tx") {
                 int status = 200;
                 const auto body = write(json::parse(call.body), status);
-                answer(peer, status, body);
+                answer(peer, number, status, body);
             } else {
-                answer(peer, 404, "{}");
+                answer(peer, number, 404, "{}");
             }
         }
     }
@@ -227,6 +237,8 @@
     std::condition_variable changed_;
     std::map<std::pair<std::string, std::string>, row> rows_;
     std::uint64_t version_ = 0;
+    std::atomic<int> connections_{0};
+    std::atomic<int> silent_before_{0};
     listener server_;
 };
 
