--- a/review/standins/endpoint.hpp
+++ b/review/standins/endpoint.hpp
@@ -14,8 +14,8 @@
     virtual ~endpoint() = default;
 
     std::string registration() const {
-        return "{\"address\":\"" + server_.address() + "\",\"born\":" + std::to_string(born_) + ",\"info\":{\"service\":\"" +
-               service + "\",\"version\":\"v1\",\"zone\":\"" + zone +
+        return "{\"address\":\"" + server_.address() + "\",\"born\":" + std::to_string(born_) +
+               ",\"info\":{\"service\":\"" + service + "\",\"version\":\"v1\",\"zone\":\"" + zone +
                "\",\"slots\":2},\"status\":{\"state\":\"" + (draining ? "draining" : "ready") +
                "\",\"seq\":" + std::to_string(++sequence_) + ",\"cold_remaining_ms\":0}}";
     }
@@ -134,7 +134,8 @@
         if (keyed) {
             const std::lock_guard<std::mutex> lock(mutex_);
             if (held_until_[key] <= steady::now()) {
-                return peer.write(answer_text(421, "Misdirected Request", lines + "Lovagetack-Not-Executed: 1\r\n", ""));
+                return peer.write(
+                    answer_text(421, "Misdirected Request", lines + "Lovagetack-Not-Executed: 1\r\n", ""));
             }
             ++running_[key];
         }
@@ -181,7 +182,8 @@
 
 inline std::string route_text(const std::string& name, const std::string& prefix, const std::string& type,
                               const std::string& service, int timeout_ms, int aim_ms) {
-    return "{\"name\":\"" + name + "\",\"host\":\"cart.example\",\"prefix\":\"" + prefix + "\",\"route_type\":\"" + type +
-           "\",\"timeout_ms\":" + std::to_string(timeout_ms) + ",\"target_latency_ms\":" + std::to_string(aim_ms) +
-           ",\"priority\":1,\"service\":\"" + service + "\",\"max_attempts\":2}";
+    return "{\"name\":\"" + name + "\",\"host\":\"cart.example\",\"prefix\":\"" + prefix + "\",\"route_type\":\"" +
+           type + "\",\"timeout_ms\":" + std::to_string(timeout_ms) +
+           ",\"target_latency_ms\":" + std::to_string(aim_ms) + ",\"priority\":1,\"service\":\"" + service +
+           "\",\"max_attempts\":2}";
 }
--- a/review/standins/late_copies.cpp
+++ b/review/standins/late_copies.cpp
@@ -52,9 +52,10 @@
                 const bool at_work = other->running(key) > 0 && other->unreleased_hold_ms(key) > 0;
                 if (at_work || other->holds(key)) {
                     ++found_.violations;
-                    record_.add("VIOLATION: %s is granted key %u (fence %llu) while %s %s; its hold would last %lld ms more",
-                                id.c_str(), key, static_cast<unsigned long long>(fence), other->id.c_str(),
-                                at_work ? "is still at work on it" : "holds it", other->unreleased_hold_ms(key));
+                    record_.add(
+                        "VIOLATION: %s is granted key %u (fence %llu) while %s %s; its hold would last %lld ms more",
+                        id.c_str(), key, static_cast<unsigned long long>(fence), other->id.c_str(),
+                        at_work ? "is still at work on it" : "holds it", other->unreleased_hold_ms(key));
                 }
             }
         }
@@ -75,8 +76,8 @@
             at_work += running(key);
         }
         found_.releases_under_work += at_work > 0 ? 1 : 0;
-        record_.add("%s: release of %u to %u (fence %llu) arrives, %d requests at work on these keys", id.c_str(), first,
-                    last, static_cast<unsigned long long>(fence), at_work);
+        record_.add("%s: release of %u to %u (fence %llu) arrives, %d requests at work on these keys", id.c_str(),
+                    first, last, static_cast<unsigned long long>(fence), at_work);
     }
     void release_answered(std::uint32_t first, std::uint32_t last, std::uint64_t) override {
         record_.add("%s: release of %u to %u is answered, no work is left", id.c_str(), first, last);
--- a/review/standins/log_reader.cpp
+++ b/review/standins/log_reader.cpp
@@ -47,7 +47,8 @@
 
 } // namespace
 
-int run_log_reader(const std::string& program, const std::string& folder, const std::string& record_name, bool trouble) {
+int run_log_reader(const std::string& program, const std::string& folder, const std::string& record_name,
+                   bool trouble) {
     // Never destroyed: threads use them until the process ends.
     auto& record = *new record_file(record_name);
     auto& platform = *new store(record);
@@ -55,8 +56,8 @@
     auto& instances = *new std::vector<std::unique_ptr<instance>>;
     auto& counts = *new std::vector<counters>(2);
     for (int number = 0; number < 4; ++number) {
-        endpoints.push_back(
-            std::make_unique<endpoint>(record, "i-" + std::to_string(1000 + number), "chart-store", "mahebourg", false));
+        endpoints.push_back(std::make_unique<endpoint>(record, "i-" + std::to_string(1000 + number), "chart-store",
+                                                       "mahebourg", false));
     }
     platform.put("op", "config",
                  "{\"version\":\"r1\",\"routes\":[" +
@@ -106,11 +107,11 @@
             const auto peer = connection::open(item->host, item->port);
             const auto id = "long-" + std::to_string(count);
             message answer;
-            const bool answered =
-                peer && peer->write("GET /none/" + std::string(path_bytes, 'x') +
-                                    " HTTP/1.1\r\nHost: cart.example\r\nLovagetack-Request-Id: " + id +
-                                    "\r\nLovagetack-Deadline-Ms: 1000\r\nConnection: close\r\n\r\n") &&
-                peer->read(answer, steady::now() + milliseconds(100));
+            const bool answered = peer &&
+                                  peer->write("GET /none/" + std::string(path_bytes, 'x') +
+                                              " HTTP/1.1\r\nHost: cart.example\r\nLovagetack-Request-Id: " + id +
+                                              "\r\nLovagetack-Deadline-Ms: 1000\r\nConnection: close\r\n\r\n") &&
+                                  peer->read(answer, steady::now() + milliseconds(100));
             record.add("%s at %s: %s", id.c_str(), item->name.c_str(),
                        answered ? answer.start_line.c_str() : "no answer in 100 ms");
         }
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -20,7 +20,8 @@
     const bool trouble = setting == nullptr || std::string(setting) != "0";
     int result = 2;
     if (name == "uploads") {
-        result = run_uploads(argv[2], argv[3], argv[4], trouble, argc > 5 ? std::atof(argv[5]) : 32, argc > 6 ? std::atoi(argv[6]) : 4);
+        result = run_uploads(argv[2], argv[3], argv[4], trouble, argc > 5 ? std::atof(argv[5]) : 32,
+                             argc > 6 ? std::atoi(argv[6]) : 4);
     }
     if (name == "late-copies") {
         result = run_late_copies(argv[2], argv[3], argv[4], trouble, argc > 5 ? std::atoi(argv[5]) : 95);
--- a/review/standins/platform.hpp
+++ b/review/standins/platform.hpp
@@ -60,7 +60,8 @@
 /// in 4 ms.
 class store {
 public:
-    explicit store(record_file& record) : record_(record), server_("127.0.0.1", [this](connection& peer) { serve(peer); }) {}
+    explicit store(record_file& record)
+        : record_(record), server_("127.0.0.1", [this](connection& peer) { serve(peer); }) {}
 
     std::string address() const { return server_.address(); }
 
@@ -255,14 +256,15 @@
     instance(record_file& record, const std::string& folder, const std::string& program, int number,
              const std::string& zone, const std::string& store_address, int front_port, int ready_port,
              int internal_port)
-        : name("front-" + zone + "-" + std::to_string(number)), host(machine_host(number)),
-          port(front_port), ready(ready_port), record_(record), program_(program), folder_(folder) {
+        : name("front-" + zone + "-" + std::to_string(number)), host(machine_host(number)), port(front_port),
+          ready(ready_port), record_(record), program_(program), folder_(folder) {
         settings_ = folder + "/" + name + ".json";
         std::ofstream(settings_)
-            << "{\"node\":\"" << name << "\",\"role\":\"gateway\",\"machine_class\":\"front\",\"serves\":[\"front\"],\"ip\":\""
-            << host << "\",\"zone\":\"" << zone << "\",\"region\":\"mauritius\",\"listen\":{\"front\":\"" << host << ":"
-            << front_port << "\",\"ready\":\"" << host << ":" << ready_port << "\"},\"internal_ports\":[" << internal_port
-            << "," << internal_port
+            << "{\"node\":\"" << name
+            << "\",\"role\":\"gateway\",\"machine_class\":\"front\",\"serves\":[\"front\"],\"ip\":\"" << host
+            << "\",\"zone\":\"" << zone << "\",\"region\":\"mauritius\",\"listen\":{\"front\":\"" << host << ":"
+            << front_port << "\",\"ready\":\"" << host << ":" << ready_port << "\"},\"internal_ports\":["
+            << internal_port << "," << internal_port
             << "],\"bootstrap\":true,\"limits\":{\"cpu_share\":0.2,\"cores\":1,\"memory_mb\":260,\"max_fds\":4100},"
                "\"data_dir\":null,\"discovery\":\"platform\",\"entry\":\"vip\",\"heartbeat_ms\":870,"
                "\"bounds\":{\"drain_ms\":2000,\"grace_s\":6,\"contact_ms\":3000,\"config_apply_ms\":2000,"
--- a/review/standins/silence.cpp
+++ b/review/standins/silence.cpp
@@ -24,7 +24,8 @@
         if (call.target().compare(0, 6, "/maps/") != 0) {
             return false;
         }
-        peer.write("HTTP/1.1 200 OK\r\n" + lines + "Content-Length: " + std::to_string(pieces * piece_bytes) + "\r\n\r\n");
+        peer.write("HTTP/1.1 200 OK\r\n" + lines + "Content-Length: " + std::to_string(pieces * piece_bytes) +
+                   "\r\n\r\n");
         for (int piece = 0; piece < pieces; ++piece) {
             std::this_thread::sleep_for(piece_pause);
             if (begun < silent_at && now_ms() >= silent_at) {
@@ -61,10 +62,10 @@
     message answer;
     const bool began = peer->read(answer, begun + milliseconds(deadline_ms));
     const auto time = since();
-    const char* const end = !began                ? "without an answer"
-                            : answer.complete     ? "complete"
-                            : peer->has_ended()   ? "cut off by the instance"
-                                                  : "still open, the caller gives up";
+    const char* const end = !began              ? "without an answer"
+                            : answer.complete   ? "complete"
+                            : peer->has_ended() ? "cut off by the instance"
+                                                : "still open, the caller gives up";
     counts.whole += answer.complete ? 1 : 0;
     counts.at_timeout += time > timeout_ms ? 1 : 0;
     counts.late += time > timeout_ms + 500 ? 1 : 0;
@@ -134,8 +135,9 @@
     for (const auto& item : instances) {
         item->kill();
     }
-    record.add("%d downloads, %d whole; %d unanswered at the route's timeout, %d of these without a final answer 0.5 s later",
-               counts.sent.load(), counts.whole.load(), counts.at_timeout.load(), counts.late.load());
+    record.add(
+        "%d downloads, %d whole; %d unanswered at the route's timeout, %d of these without a final answer 0.5 s later",
+        counts.sent.load(), counts.whole.load(), counts.at_timeout.load(), counts.late.load());
     const bool broken = counts.late >= 8 && counts.late * 2 > counts.at_timeout;
     record.add("%s", broken ? "BROKEN" : "held");
     return broken ? 1 : 0;
--- a/review/standins/silent_store.cpp
+++ b/review/standins/silent_store.cpp
@@ -127,10 +127,11 @@
     for (const auto& item : instances) {
         item->kill();
     }
-    record.add("%d requests sent, %d answered 200; %d answered 200 of those sent more than %d ms after the acknowledgement "
-               "and %d ms after the silence; %d of these run by the old service",
-               counts.sent.load(), counts.answered.load(), counts.judged.load(), config_apply_ms, contact_ms,
-               counts.by_old_service.load());
+    record.add(
+        "%d requests sent, %d answered 200; %d answered 200 of those sent more than %d ms after the acknowledgement "
+        "and %d ms after the silence; %d of these run by the old service",
+        counts.sent.load(), counts.answered.load(), counts.judged.load(), config_apply_ms, contact_ms,
+        counts.by_old_service.load());
     const bool broken = counts.by_old_service > 0;
     record.add("%s", broken ? "BROKEN" : "held");
     return broken ? 1 : 0;
--- a/review/standins/uploads.cpp
+++ b/review/standins/uploads.cpp
@@ -127,9 +127,8 @@
     auto& endpoints = *new std::vector<std::unique_ptr<endpoint>>;
     for (int number = 0; number < 6; ++number) {
         const bool ledger = number < 3;
-        endpoints.push_back(std::make_unique<recording_endpoint>(record, "i-" + std::to_string(1000 + number),
-                                                                 ledger ? "deposit-book" : "chart-store", "mahebourg",
-                                                                 false));
+        endpoints.push_back(std::make_unique<recording_endpoint>(
+            record, "i-" + std::to_string(1000 + number), ledger ? "deposit-book" : "chart-store", "mahebourg", false));
     }
     platform.put("op", "config",
                  "{\"version\":\"r1\",\"routes\":[" +
@@ -235,10 +234,10 @@
         lost = lost || count > 3;
         item->kill();
     }
-    record.add("uploads: %d sent, %d answered 200, %d refused, %d cut off; other requests: %d sent, %d answered, %d cut off",
-               counts.uploads_sent.load(), counts.uploads_answered.load(), counts.uploads_refused.load(),
-               counts.uploads_cut.load(), counts.small_sent.load(), counts.small_answered.load(),
-               counts.small_cut.load());
+    record.add(
+        "uploads: %d sent, %d answered 200, %d refused, %d cut off; other requests: %d sent, %d answered, %d cut off",
+        counts.uploads_sent.load(), counts.uploads_answered.load(), counts.uploads_refused.load(),
+        counts.uploads_cut.load(), counts.small_sent.load(), counts.small_answered.load(), counts.small_cut.load());
     record.add("%s", lost ? "BROKEN" : "held");
     return lost ? 1 : 0;
 }
