routing: an answer that has stopped ends at its deadline

Cause: the deadline of a request was removed as soon as the first 32 KB of its answer had been passed on, and nothing else bounds a body that stops.

Change: a started answer keeps a deadline. Its progress is checked from 0.2 s before the deadline on; if nothing has arrived for 0.2 s it is broken off with a reset, otherwise it may go on for 0.4 s, so that the final answer comes within the half second of the rule. An answer that waits for its caller has not stopped; an instance that was suspended reads first what has arrived.

--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -106,6 +106,7 @@
 }
 
 void attempt::answer_body(std::string_view bytes) {
+    body_bytes_ += bytes.size();
     if (!forwarding_) {
         answer_.body.append(bytes);
         const bool delivers = outcome_if_complete() == routing::attempt_outcome::delivered;
@@ -144,6 +145,10 @@
     }
 }
 
+routing::answer_progress attempt::progress() const {
+    return {effect_.exchange, effect_.attempt, body_bytes_, connection_ && connection_->is_paused()};
+}
+
 bool attempt::may_refuse_earlier_request() const {
     // A request that may run twice can be sent again in any case.
     return effect_.at_most_once && ended_event_.reused_connection && header_.request.empty();
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -77,6 +77,7 @@
     void caller_writable();
     /// Ends the attempt and aborts its connection without reporting an outcome.
     void drop();
+    [[nodiscard]] routing::answer_progress progress() const;
     [[nodiscard]] model::attempt_id id() const { return effect_.attempt; }
 
     /// Length of body, in bytes, up to which an answer is buffered until it is complete.
@@ -117,6 +118,7 @@
     stored_answer answer_;
     http::body_framing framing_ = http::body_framing::none;
     std::uint64_t length_ = 0;
+    std::uint64_t body_bytes_ = 0;
     bool header_received_ = false;
     bool forwarding_ = false;
     bool finished_ = false;
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -50,6 +50,7 @@
     void execute(const routing::request_delivered& effect);
     void execute(const routing::send_request& effect) { relay_.execute(effect); }
     void execute(const routing::cancel_attempt& effect) { relay_.execute(effect); }
+    void execute(const routing::report_answer_progress& effect) { relay_.execute(effect); }
     void execute(const routing::deliver_answer& effect) { relay_.execute(effect); }
     void execute(const routing::answer_caller& effect) { relay_.execute(effect); }
     void execute(const routing::send_load& effect) { load_exchange_.send(effect, state_.instances); }
--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -176,6 +176,13 @@
     }
 }
 
+void relay::execute(const routing::report_answer_progress& effect) {
+    const auto* const item = find(effect.exchange);
+    if (item != nullptr && item->current_attempt && item->current_attempt->id() == effect.attempt) {
+        on_event_(item->current_attempt->progress());
+    }
+}
+
 void relay::execute(const routing::probe_server& effect) {
     if (probes_.contains(effect.server)) {
         return;
--- a/source/gateway/relay.hpp
+++ b/source/gateway/relay.hpp
@@ -35,6 +35,7 @@
     void execute(const routing::send_request& effect);
     void execute(const routing::cancel_attempt& effect);
     void execute(const routing::probe_server& effect);
+    void execute(const routing::report_answer_progress& effect);
     /// Sends the caller the stored failure of the exchange.
     void execute(const routing::deliver_answer& effect);
     void execute(const routing::answer_caller& effect);
--- a/source/http/client_connection.hpp
+++ b/source/http/client_connection.hpp
@@ -74,6 +74,7 @@
 
     void pause_answer() { paused_ = true; }
     void resume_answer();
+    [[nodiscard]] bool is_paused() const { return paused_; }
 
     /// The connection is open and can carry a request.
     [[nodiscard]] bool is_idle() const { return phase_ == phase::idle; }
--- a/source/routing/effect.hpp
+++ b/source/routing/effect.hpp
@@ -33,6 +33,12 @@
     model::attempt_id attempt;
 };
 
+/// Requests an answer_progress event for an answer that has started.
+struct report_answer_progress {
+    exchange_id exchange = 0;
+    model::attempt_id attempt;
+};
+
 /// Sends the caller the failure answer of the last attempt, which the shell holds.
 struct deliver_answer {
     exchange_id exchange = 0;
@@ -207,12 +213,13 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 
-using effect = std::variant<send_request, cancel_attempt, deliver_answer, answer_caller, grant_range, release_range,
-                            send_renewal_orders, send_renewal_report, probe_server, send_strike, send_objection,
-                            write_quarantine, lift_quarantine, follow_store, send_heartbeat, send_table_change,
-                            request_table_changes, send_known_changes, apply_table_change, catch_up, send_slot_request,
-                            send_slot_answer, send_slot_release, send_slot_report, send_load, send_change, read_lease,
-                            read_assignments, refresh_assignments, write_rows, request_delivered, log_line>;
+using effect =
+    std::variant<send_request, cancel_attempt, report_answer_progress, deliver_answer, answer_caller, grant_range,
+                 release_range, send_renewal_orders, send_renewal_report, probe_server, send_strike, send_objection,
+                 write_quarantine, lift_quarantine, follow_store, send_heartbeat, send_table_change,
+                 request_table_changes, send_known_changes, apply_table_change, catch_up, send_slot_request,
+                 send_slot_answer, send_slot_release, send_slot_report, send_load, send_change, read_lease,
+                 read_assignments, refresh_assignments, write_rows, request_delivered, log_line>;
 using effects = std::vector<effect>;
 
 } // namespace lovagetack::routing
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -507,6 +507,16 @@
     model::attempt_id attempt;
 };
 
+/// Answer to report_answer_progress.
+struct answer_progress {
+    exchange_id exchange = 0;
+    model::attempt_id attempt;
+    /// Bytes of the body that have arrived.
+    std::uint64_t bytes = 0;
+    /// No more of the answer is read until the caller has taken some of it.
+    bool awaits_caller = false;
+};
+
 struct attempt_ended {
     exchange_id exchange = 0;
     model::attempt_id attempt;
@@ -537,6 +547,6 @@
                  table_updated, slot_request, slot_answer, slot_release, slot_report, reader_heartbeat,
                  table_change_received, table_changes_wanted, table_changes_unknown, instance_load, request_arrived,
                  caller_left, connection_dropped, attempt_sent, signals_received, answer_forwarding_started,
-                 attempt_ended, ticked, shutdown_begun, shutdown_nears_end, shutdown_ends>;
+                 answer_progress, attempt_ended, ticked, shutdown_begun, shutdown_nears_end, shutdown_ends>;
 
 } // namespace lovagetack::routing
--- a/source/routing/exchanges.cpp
+++ b/source/routing/exchanges.cpp
@@ -52,6 +52,7 @@
     release_ask(step, found->second, std::nullopt);
     remove_from_queues(step, id, found->second);
     step.state.deadlines.erase({found->second.expires_at, id});
+    step.state.answer_checks.erase({found->second.answer_check_at, id});
     step.state.exchanges.erase(found);
 }
 
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -11,6 +11,14 @@
 
 // Requests.
 
+/// An answer that has started ends at its deadline, or later, once nothing of it has arrived for this long.
+inline constexpr std::chrono::microseconds answer_silence = 200ms;
+/// How long an answer that is still arriving at its deadline may go on. With the check period it stays below the half
+/// second after which the operators count a request as unanswered.
+inline constexpr std::chrono::microseconds answer_overtime = 400ms;
+/// After a longer time without a report of its progress, the instance was suspended and has not read yet what arrived.
+inline constexpr std::chrono::microseconds longest_report_gap = 1s;
+
 /// Requests beyond its slots that all instances together send to a server: initial, largest and smallest number. Some
 /// have to wait at the server, since other instances see a free slot only after a message; a full server drops
 /// connections.
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -15,6 +15,7 @@
 #include "routing/requests.hpp"
 #include "routing/servers.hpp"
 #include "routing/signals.hpp"
+#include "routing/started_answers.hpp"
 #include "routing/step.hpp"
 
 namespace lovagetack::routing {
@@ -201,7 +202,11 @@
 }
 
 void on(step& step, const answer_forwarding_started& event) {
-    mark_answer_forwarding_started(step, event);
+    watch_started_answer(step, event);
+}
+
+void on(step& step, const answer_progress& event) {
+    note_answer_progress(step, event);
 }
 
 void on(step& step, const attempt_ended& event) {
@@ -240,11 +245,11 @@
     const auto is_any_of = [&event]<class... Events>(std::type_identity<std::variant<Events...>> /*kinds*/) {
         return (std::holds_alternative<Events>(event) || ...);
     };
-    return !is_any_of(
-        std::type_identity<std::variant<
-            request_arrived, caller_left, connection_dropped, attempt_sent, signals_received, answer_forwarding_started,
-            attempt_ended, instance_load, renewal_orders, renewal_report, reader_heartbeat, slot_request, slot_answer,
-            slot_release, slot_report, request_strike, quarantine_objection, server_probed>>());
+    return !is_any_of(std::type_identity<
+                      std::variant<request_arrived, caller_left, connection_dropped, attempt_sent, signals_received,
+                                   answer_forwarding_started, answer_progress, attempt_ended, instance_load,
+                                   renewal_orders, renewal_report, reader_heartbeat, slot_request, slot_answer,
+                                   slot_release, slot_report, request_strike, quarantine_objection, server_probed>>());
 }
 
 } // namespace
@@ -257,6 +262,7 @@
     step step{state, now, {}};
     std::visit([&step](const auto& body) { on(step, body); }, event);
     end_overdue_exchanges(step);
+    check_started_answers(step);
     if (concerns_keeper(event)) {
         run_keeper(step);
     }
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -270,20 +270,6 @@
     return true;
 }
 
-/// Cancels the attempt of a request that is at a backend server, which may go on working on it.
-void cancel_current_attempt(step& step, exchange_id id) {
-    auto& exchange = step.state.exchanges.at(id);
-    // The effect that sends an attempt of this step is executed before the one that cancels it.
-    const bool sent_in_this_step = exchange.attempt_at == step.now;
-    exchange.may_have_run = exchange.may_have_run || exchange.sending || sent_in_this_step;
-    const auto server = step.state.servers.find(exchange.server);
-    if (server != step.state.servers.end()) {
-        end_outstanding(step, server->second, exchange);
-    }
-    step.add(cancel_attempt{id, exchange.attempt});
-    note_cancelled_request(step, exchange);
-}
-
 void log_attempt(step& step, const exchange& exchange, const attempt_ended& event, std::chrono::microseconds elapsed) {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
     step.add(log_line{true,
@@ -415,6 +401,19 @@
            range->owner_born == server.registration.born && serves_own_keys(step.state, server, step.now);
 }
 
+void cancel_current_attempt(step& step, exchange_id id) {
+    auto& exchange = step.state.exchanges.at(id);
+    // The effect that sends an attempt of this step is executed before the one that cancels it.
+    const bool sent_in_this_step = exchange.attempt_at == step.now;
+    exchange.may_have_run = exchange.may_have_run || exchange.sending || sent_in_this_step;
+    const auto server = step.state.servers.find(exchange.server);
+    if (server != step.state.servers.end()) {
+        end_outstanding(step, server->second, exchange);
+    }
+    step.add(cancel_attempt{id, exchange.attempt});
+    note_cancelled_request(step, exchange);
+}
+
 void end_left_exchange(step& step, const caller_left& event) {
     const auto id = event.exchange;
     const auto found = step.state.exchanges.find(id);
@@ -445,15 +444,6 @@
     }
 }
 
-void mark_answer_forwarding_started(step& step, const answer_forwarding_started& event) {
-    const auto found = step.state.exchanges.find(event.exchange);
-    if (found != step.state.exchanges.end() && found->second.attempt == event.attempt) {
-        found->second.forwarding = true;
-        // A started answer is delivered even past the deadline; only the caller can cancel it now.
-        step.state.deadlines.erase({found->second.expires_at, event.exchange});
-    }
-}
-
 void end_attempt(step& step, const attempt_ended& event) {
     const auto found = step.state.exchanges.find(event.exchange);
     if (found == step.state.exchanges.end() || found->second.attempt != event.attempt) {
@@ -535,18 +525,21 @@
     }
 }
 
+void end_overdue_exchange(step& step, exchange_id id) {
+    auto& exchange = step.state.exchanges.at(id);
+    if (exchange.phase == exchange_phase::sent) {
+        cancel_current_attempt(step, id);
+        const auto server = step.state.servers.find(exchange.server);
+        if (server != step.state.servers.end() && !exchange.forwarding) {
+            server->second.spare_window = std::max(smallest_spare_window, server->second.spare_window - 0.5);
+        }
+    }
+    answer(step, id, result_code::request_deadline_passed, retry_after_for(step, exchange));
+}
+
 void end_overdue_exchanges(step& step) {
     while (!step.state.deadlines.empty() && step.state.deadlines.begin()->first <= step.now) {
-        const auto id = step.state.deadlines.begin()->second;
-        auto& exchange = step.state.exchanges.at(id);
-        if (exchange.phase == exchange_phase::sent) {
-            cancel_current_attempt(step, id);
-            const auto server = step.state.servers.find(exchange.server);
-            if (server != step.state.servers.end()) {
-                server->second.spare_window = std::max(smallest_spare_window, server->second.spare_window - 0.5);
-            }
-        }
-        answer(step, id, result_code::request_deadline_passed, retry_after_for(step, exchange));
+        end_overdue_exchange(step, step.state.deadlines.begin()->second);
     }
 }
 
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -165,6 +165,11 @@
     bool sending = false;
     /// A part of the server's answer has gone to the caller.
     bool forwarding = false;
+    /// When the progress of a started answer is checked next, when it was last reported, and the bytes of its body at
+    /// that time.
+    base::boot_time answer_check_at;
+    base::boot_time answer_reported_at;
+    std::uint64_t answer_bytes = 0;
     /// An earlier attempt may have run.
     bool may_have_run = false;
     /// The shell holds a server's failure answer that can be sent to the caller.
@@ -520,6 +525,8 @@
     std::unordered_map<exchange_id, exchange> exchanges;
     /// Give-up times of the exchanges.
     std::set<std::pair<base::boot_time, exchange_id>> deadlines;
+    /// Times at which the progress of started answers is checked.
+    std::set<std::pair<base::boot_time, exchange_id>> answer_checks;
     keeper_state keeper;
     renewer_state renewer;
     reader_state readers;
--- a/tests/routing/deployment.hpp
+++ b/tests/routing/deployment.hpp
@@ -122,6 +122,7 @@
 
     void execute(int instance, const send_request& /*effect*/) { (void)instance; }
     void execute(int instance, const cancel_attempt& /*effect*/) { (void)instance; }
+    void execute(int instance, const report_answer_progress& /*effect*/) { (void)instance; }
     void execute(int instance, const deliver_answer& /*effect*/) { (void)instance; }
     void execute(int instance, const answer_caller& /*effect*/) { (void)instance; }
     void execute(int instance, const request_delivered& /*effect*/) { (void)instance; }
