gateway: a refusal never promises "not run" for what has been written

The decision to refuse and the writing of the request are in different places: the routing chooses 503 by what it has been told of the attempt, the relay knows what was written. Nothing compared the two, and no log line told which of them was wrong.

Change: the relay notes per exchange that bytes of an attempt were written and that its server has not stated "not run". A 503 for such an exchange goes out as 502 without Retry-After, and the line promise_withheld names the request and the code.

Test: "a refusal of a request that has been written does not promise that it has not run". The existing test of Retry-After refused a request that its server had received, which is what must not be; it refuses one that was not sent now, with the same checks.

--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -62,6 +62,7 @@
         http::append_field(text, "Content-Length", static_cast<std::uint64_t>(exchange_.body.size()));
     }
     text.append("\r\n").append(exchange_.body);
+    may_have_run_before_ = std::exchange(exchange_.may_have_run, true);
     connection_->start(*this, exchange_.is_head, text);
     connection_->end_request();
     ended_event_.reused_connection = connection_->was_used_before();
@@ -225,6 +226,7 @@
     ended_event_.outcome = outcome;
     if (is_refusal(outcome)) {
         exchange_.refused_at.push_back(effect_.address);
+        exchange_.may_have_run = may_have_run_before_;
     }
     // The connection may go to another request at once. The events of its start can end the exchange, so it must not be
     // accessed from here on.
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -36,6 +36,8 @@
     std::string body;
     bool is_head = false;
     bool has_body = false;
+    /// Bytes of an attempt were written, and its server has not stated that it did not run the request.
+    bool may_have_run = false;
     std::unique_ptr<class attempt> current_attempt;
     /// The last complete answer with a status of 500 or above that a backend server signed.
     std::unique_ptr<stored_answer> failure;
@@ -119,6 +121,8 @@
     http::body_framing framing_ = http::body_framing::none;
     std::uint64_t length_ = 0;
     std::uint64_t body_bytes_ = 0;
+    /// exchange_.may_have_run before this attempt.
+    bool may_have_run_before_ = false;
     bool header_received_ = false;
     bool forwarding_ = false;
     bool finished_ = false;
--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -10,6 +10,11 @@
 /// of new connections is full, or the server cannot be reached.
 constexpr auto open_time = std::chrono::milliseconds(300);
 
+/// HTTP status 503, which promises the caller that its request has not run and will not run.
+constexpr int not_run_status = 503;
+/// HTTP status 502, which promises nothing.
+constexpr int unknown_outcome_status = 502;
+
 http::server_limits server_limits(std::size_t connections) {
     http::server_limits limits;
     limits.connections = connections;
@@ -224,8 +229,15 @@
         erase(effect.exchange);
         return;
     }
-    caller->answer_error(effect.status, effect.code, base::name_of(effect.code),
-                         dialect_.local_answer_fields(item->header.request, effect.retry_after));
+    auto status = effect.status;
+    auto retry_after = effect.retry_after;
+    if (status == not_run_status && item->may_have_run) {
+        on_event_(routing::promise_withheld{item->header.request, effect.code});
+        status = unknown_outcome_status;
+        retry_after = std::chrono::milliseconds(0);
+    }
+    caller->answer_error(status, effect.code, base::name_of(effect.code),
+                         dialect_.local_answer_fields(item->header.request, retry_after));
     erase(effect.exchange);
 }
 
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/boot_time.hpp"
+#include "base/result_code.hpp"
 #include "model/ids.hpp"
 #include "routing/assignment.hpp"
 #include "routing/catalogue.hpp"
@@ -527,6 +528,13 @@
     std::optional<reported_load> load;
 };
 
+/// A refusal was about to promise that a request has not run although bytes of it had been written to a server. The
+/// caller was told that the outcome is unknown.
+struct promise_withheld {
+    std::string request;
+    base::result_code code = base::result_code::ok;
+};
+
 struct ticked {};
 
 /// Shutdown of the instance begins: it is no longer ready, and gives up the keeper's lease.
@@ -538,15 +546,14 @@
 /// The process is about to end: what has not been answered by now can only be answered by this instance.
 struct shutdown_ends {};
 
-using event =
-    std::variant<store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected,
-                 evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
-                 assignment_learned, assignment_changed, assignments_complete, instance_updated, instance_removed,
-                 quarantine_learned, quarantine_removed, request_strike, quarantine_objection, server_probed,
-                 lease_read, rows_written, assignments_read, grant_ended, release_ended, renewal_orders, renewal_report,
-                 table_updated, slot_request, slot_answer, slot_release, slot_report, reader_heartbeat,
-                 table_change_received, table_changes_wanted, table_changes_unknown, instance_load, request_arrived,
-                 caller_left, connection_dropped, attempt_sent, signals_received, answer_forwarding_started,
-                 answer_progress, attempt_ended, ticked, shutdown_begun, shutdown_nears_end, shutdown_ends>;
+using event = std::variant<
+    store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected, evacuations_updated,
+    backend_server_updated, backend_server_removed, registry_complete, assignment_learned, assignment_changed,
+    assignments_complete, instance_updated, instance_removed, quarantine_learned, quarantine_removed, request_strike,
+    quarantine_objection, server_probed, lease_read, rows_written, assignments_read, grant_ended, release_ended,
+    renewal_orders, renewal_report, table_updated, slot_request, slot_answer, slot_release, slot_report,
+    reader_heartbeat, table_change_received, table_changes_wanted, table_changes_unknown, instance_load,
+    request_arrived, caller_left, connection_dropped, attempt_sent, signals_received, answer_forwarding_started,
+    answer_progress, attempt_ended, promise_withheld, ticked, shutdown_begun, shutdown_nears_end, shutdown_ends>;
 
 } // namespace lovagetack::routing
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -213,6 +213,13 @@
     end_attempt(step, event);
 }
 
+void on(step& step, const promise_withheld& event) {
+    step.add(
+        log_line{true,
+                 "promise_withheld",
+                 {text_field("request", event.request), text_field("code", std::string(base::name_of(event.code)))}});
+}
+
 void on(step& step, const ticked& /*event*/) {
     remove_missing(step);
     end_missing_evacuations(step);
@@ -245,11 +252,12 @@
     const auto is_any_of = [&event]<class... Events>(std::type_identity<std::variant<Events...>> /*kinds*/) {
         return (std::holds_alternative<Events>(event) || ...);
     };
-    return !is_any_of(std::type_identity<
-                      std::variant<request_arrived, caller_left, connection_dropped, attempt_sent, signals_received,
-                                   answer_forwarding_started, answer_progress, attempt_ended, instance_load,
-                                   renewal_orders, renewal_report, reader_heartbeat, slot_request, slot_answer,
-                                   slot_release, slot_report, request_strike, quarantine_objection, server_probed>>());
+    return !is_any_of(
+        std::type_identity<
+            std::variant<request_arrived, caller_left, connection_dropped, attempt_sent, signals_received,
+                         answer_forwarding_started, answer_progress, attempt_ended, promise_withheld, instance_load,
+                         renewal_orders, renewal_report, reader_heartbeat, slot_request, slot_answer, slot_release,
+                         slot_report, request_strike, quarantine_objection, server_probed>>());
 }
 
 } // namespace
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,7 +32,9 @@
     void on_event(const routing::event& event) {
         events.push_back(event);
         if (const auto* arrived = std::get_if<routing::request_arrived>(&event)) {
-            send(arrived->exchange);
+            if (sends) {
+                send(arrived->exchange);
+            }
         }
         if (reaction) {
             reaction(event);
@@ -64,7 +67,11 @@
     void send_caller_request(const std::string& id = "abc") {
         caller->send("GET /look/1?x=2 HTTP/1.1\r\nHost: h\r\nLovagetack-Request-Id: " + id +
                      "\r\nLovagetack-Deadline-Ms: 2000\r\nLovagetack-Expected-Instance: forged\r\n\r\n");
-        server->connection(0).wait_for("\r\n\r\n");
+        if (sends) {
+            server->connection(0).wait_for("\r\n\r\n");
+            return;
+        }
+        test::run_until([this] { return !events.empty(); });
     }
 
     operators_platform::dialect dialect;
@@ -73,6 +80,8 @@
     std::unique_ptr<raw_socket> caller;
     std::uint16_t port = 0;
     std::uint64_t attempts = 0;
+    /// Whether requests are sent to the server when they arrive.
+    bool sends = true;
     /// Whether the requests must not run twice.
     bool at_most_once = false;
     std::vector<routing::event> events;
@@ -387,8 +396,8 @@
 
 TEST_CASE("a refused request is answered with Retry-After") {
     fixture test;
+    test.sends = false;
     test.send_caller_request();
-    test.relay->execute(routing::cancel_attempt{1, model::attempt_id(1)});
     test.relay->execute(
         routing::answer_caller{1, 503, base::result_code::request_queue_full, std::chrono::milliseconds(250)});
     test.caller->wait_for("request_queue_full");
@@ -398,6 +407,28 @@
     REQUIRE(test.caller->received().find("Signature") == std::string::npos);
 }
 
+// Guards against a promise that something has not run, of whatever cause, once bytes of it have reached a server.
+TEST_CASE("a refusal of a request that has been written does not promise that it has not run") {
+    fixture test;
+    test.send_caller_request();
+    const bool server_refused = GENERATE(false, true);
+    if (server_refused) {
+        test.server->connection(0).send("HTTP/1.1 503 Busy\r\nLovagetack-Request-Id: abc\r\nLovagetack-Not-Executed: "
+                                        "1\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(test.outcome() == attempt_outcome::not_run);
+    } else {
+        test.relay->execute(routing::cancel_attempt{1, model::attempt_id(1)});
+    }
+    test.relay->execute(
+        routing::answer_caller{1, 503, base::result_code::request_queue_full, std::chrono::milliseconds(250)});
+    test.caller->wait_for("request_queue_full");
+    CHECK((test.caller->received().find("HTTP/1.1 503 ") == 0) == server_refused);
+    CHECK((test.caller->received().find("Retry-After: ") != std::string::npos) == server_refused);
+    CHECK(std::any_of(test.events.begin(), test.events.end(), [](const auto& event) {
+              return std::holds_alternative<routing::promise_withheld>(event);
+          }) != server_refused);
+}
+
 TEST_CASE("a caller that disconnects is reported, and the server's connection is closed") {
     fixture test;
     test.send_caller_request();
