routing: what was sent in a step is not withdrawn by the same step

What callers could see: a request that must not run twice runs at two servers, or is answered 503 although it runs (TWICE, REFUSED).

Cause: one message of another instance can tell of several servers that leave. For each of them the requests of which nothing has been written are placed elsewhere. A request that the first of them moves to the second is sent there, and the second one withdraws it in the same step, since no note of its writing can have come yet.

Evidence: the new test "a request that was placed at a server in the step in which that server is told to leave stays there" fails on the code before: three attempts are sent instead of two.

Change: an exchange knows the step that sent it, and only requests sent in an earlier step count as unwritten.

--- a/source/routing/exchanges.cpp
+++ b/source/routing/exchanges.cpp
@@ -90,6 +90,7 @@
     exchange.server_born = server.registration.born;
     exchange.attempt = model::attempt_id(++step.state.last_attempt);
     exchange.attempt_at = step.now;
+    exchange.attempt_step = step.state.steps;
     exchange.signals = {};
     exchange.sending = false;
     exchange.answer_stored = false;
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -267,6 +267,7 @@
 }
 
 effects reduce(state& state, base::boot_time now, const event& event) {
+    ++state.steps;
     step step{state, now, {}};
     std::visit([&step](const auto& body) { on(step, body); }, event);
     end_overdue_exchanges(step);
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -270,6 +270,12 @@
     return true;
 }
 
+/// Whether the request waits for a connection to its server, so that nothing of it has been written. The effect that
+/// sends an attempt of this step is executed before any that withdraws it.
+bool is_unwritten(const step& step, const exchange& exchange) {
+    return exchange.phase == exchange_phase::sent && !exchange.sending && exchange.attempt_step != step.state.steps;
+}
+
 void log_attempt(step& step, const exchange& exchange, const attempt_ended& event, std::chrono::microseconds elapsed) {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
     step.add(log_line{true,
@@ -371,7 +377,7 @@
 void place_unsent_elsewhere(step& step, const model::backend_server_id& server, bool with_keys) {
     std::vector<exchange_id> unsent;
     for (const auto& [id, exchange] : step.state.exchanges) {
-        const bool is_unsent = exchange.phase == exchange_phase::sent && exchange.server == server && !exchange.sending;
+        const bool is_unsent = exchange.server == server && is_unwritten(step, exchange);
         const bool asks = exchange.phase == exchange_phase::asking && exchange.wanted_server == server;
         if ((is_unsent || asks) && (with_keys || !divided_by_key(step.state, exchange.service))) {
             unsent.push_back(id);
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -159,6 +159,8 @@
     std::uint64_t server_born = 0;
     model::attempt_id attempt;
     base::boot_time attempt_at;
+    /// Number of the step that sent it.
+    std::uint64_t attempt_step = 0;
     /// What the server has stated in the answer to the attempt.
     server_signals signals;
     std::int32_t attempts = 0;
@@ -522,6 +524,8 @@
     std::uint64_t load_sequence = 0;
     bool load_changed = false;
     std::map<std::string, std::map<model::service_id, double>> split_credit;
+    /// Number of calls of reduce().
+    std::uint64_t steps = 0;
     std::unordered_map<exchange_id, exchange> exchanges;
     /// Give-up times of the exchanges.
     std::set<std::pair<base::boot_time, exchange_id>> deadlines;
--- a/tests/routing/signals_test.cpp
+++ b/tests/routing/signals_test.cpp
@@ -256,6 +256,34 @@
     }
 }
 
+// Guards against a request that runs twice, or is refused although it runs: what is sent in a step may be written
+// before the same step withdraws it.
+TEST_CASE("a request that was placed at a server in the step in which that server is told to leave stays there",
+          "[signals]") {
+    instance instance(3);
+    const auto id = instance.request("/pay/1");
+    const auto first_server = instance.sent(id).front().server;
+    instance.advance_time(10ms);
+    instance_load told;
+    told.instance = model::instance_id("two");
+    told.incarnation = 1;
+    told.sequence = 1;
+    for (const auto& [server, record] : instance.state().servers) {
+        if (record.registration.service != unkeyed_service) {
+            continue;
+        }
+        peer_server_load load;
+        load.server = server;
+        load.leaving_born = record.registration.born;
+        // The first one withdraws the request, the others are told to leave after it has been placed there.
+        told.servers.insert(server == first_server ? told.servers.begin() : told.servers.end(), load);
+    }
+    instance.process_event(told);
+    REQUIRE(instance.sent(id).size() == 2);
+    CHECK(instance.count<cancel_attempt>() == 1);
+    CHECK(instance.answers(id).empty());
+}
+
 // Guards against a request that reaches the server during the pause because it waited for a connection when it began.
 TEST_CASE("a request of which nothing was sent yet is withdrawn when the server asks for a pause", "[signals]") {
     instance instance(1);
