routing: no deadline is judged before all writes are known

The relay writes them and notes each in an event of its own. The event of the first one was followed by a check of all deadlines, with the time of that moment. If the instance was stopped meanwhile, as one that has used up its processor time, a second request was overdue, counted as not written since its own event was still in the queue, and was refused with 503 while it ran.

Evidence: the new test "no deadline is judged before all writes of a step are known" fails on the code before, 503 instead of 504.

Change: notes of writes go before all other events, and judge no deadline themselves. Decisions that withdraw a request or refuse it are made after the last note.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -90,7 +90,12 @@
 }
 
 void gateway::handle(const routing::event& event) {
-    events_.push_back(event);
+    if (std::holds_alternative<routing::attempt_sent>(event)) {
+        // What has been written has to be known before any other decision.
+        events_.push_front(event);
+    } else {
+        events_.push_back(event);
+    }
     if (std::exchange(processing_, true)) {
         return;
     }
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -270,8 +270,11 @@
     ++state.steps;
     step step{state, now, {}};
     std::visit([&step](const auto& body) { on(step, body); }, event);
-    end_overdue_exchanges(step);
-    check_started_answers(step);
+    // More requests may have been written than this event tells of. No deadline is judged before all are known.
+    if (!std::holds_alternative<attempt_sent>(event)) {
+        end_overdue_exchanges(step);
+        check_started_answers(step);
+    }
     if (concerns_keeper(event)) {
         run_keeper(step);
     }
--- a/tests/routing/requests_test.cpp
+++ b/tests/routing/requests_test.cpp
@@ -90,6 +90,32 @@
     CHECK(instance.answers(id).front().status == 502);
 }
 
+// Guards against a refusal as not run of a request that has been written: several are sent in one step, and time may
+// pass before the first note of it is processed.
+TEST_CASE("no deadline is judged before all writes of a step are known") {
+    instance instance;
+    instance.let_keys_move();
+    const auto first = instance.request("/look/1", 300ms);
+    const auto second = instance.request("/look/2", 300ms);
+    REQUIRE(instance.sent(second).empty());
+    key_range whole;
+    whole.last = key_count - 1;
+    whole.owner = model::backend_server_id("board-0");
+    whole.owner_born = 7;
+    whole.fence = 3;
+    instance.process_event(assignment_learned{keyed_service, 3, {4, {}, {whole}}});
+    REQUIRE(instance.sent(first).size() == 1);
+    REQUIRE(instance.sent(second).size() == 1);
+    instance.suspend(300ms);
+    instance.process_event(attempt_sent{second, instance.sent(second).back().attempt});
+    instance.process_event(attempt_sent{first, instance.sent(first).back().attempt});
+    instance.process_event(ticked{});
+    for (const auto id : {first, second}) {
+        REQUIRE(instance.answers(id).size() == 1);
+        CHECK(instance.answers(id).front().status == 504);
+    }
+}
+
 TEST_CASE("the attempt of a caller that has disconnected is cancelled") {
     instance instance;
     const auto id = instance.request("/get/1");
