routing: one function finds the exchange of an attempt's event

The look-up by exchange and attempt stood in three places, a fourth came with the started answers; find_attempt serves all. cancel_current_attempt is used in requests.cpp only and leaves the header again. A comment on started answers said that they have no deadline; they have one now.

--- a/source/routing/exchanges.cpp
+++ b/source/routing/exchanges.cpp
@@ -27,6 +27,11 @@
     }
 }
 
+exchange* find_attempt(step& step, exchange_id id, model::attempt_id attempt) {
+    const auto found = step.state.exchanges.find(id);
+    return found != step.state.exchanges.end() && found->second.attempt == attempt ? &found->second : nullptr;
+}
+
 service_record& service_of(step& step, const exchange& exchange) {
     return step.state.services[exchange.service];
 }
--- a/source/routing/exchanges.hpp
+++ b/source/routing/exchanges.hpp
@@ -9,6 +9,10 @@
 
 // Parts of the processing of requests that both ways to a server, with and without a dispatcher, use.
 
+/// The exchange whose current attempt an event tells of; null if the attempt has been replaced or the exchange has
+/// ended.
+[[nodiscard]] exchange* find_attempt(step& step, exchange_id id, model::attempt_id attempt);
+
 [[nodiscard]] service_record& service_of(step& step, const exchange& exchange);
 [[nodiscard]] bool divided_by_key(const state& state, const model::service_id& service);
 
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -276,6 +276,20 @@
     return exchange.phase == exchange_phase::sent && !exchange.sending && exchange.attempt_step != step.state.steps;
 }
 
+/// Cancels the attempt of a request that is at a backend server, which may go on working on it.
+void cancel_current_attempt(step& step, exchange_id id) {
+    auto& exchange = step.state.exchanges.at(id);
+    // The effect that sends an attempt of this step is executed before the one that cancels it.
+    const bool sent_in_this_step = exchange.attempt_at == step.now;
+    exchange.may_have_run = exchange.may_have_run || exchange.sending || sent_in_this_step;
+    const auto server = step.state.servers.find(exchange.server);
+    if (server != step.state.servers.end()) {
+        end_outstanding(step, server->second, exchange);
+    }
+    step.add(cancel_attempt{id, exchange.attempt});
+    note_cancelled_request(step, exchange);
+}
+
 void log_attempt(step& step, const exchange& exchange, const attempt_ended& event, std::chrono::microseconds elapsed) {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
     step.add(log_line{true,
@@ -407,19 +421,6 @@
            range->owner_born == server.registration.born && serves_own_keys(step.state, server, step.now);
 }
 
-void cancel_current_attempt(step& step, exchange_id id) {
-    auto& exchange = step.state.exchanges.at(id);
-    // The effect that sends an attempt of this step is executed before the one that cancels it.
-    const bool sent_in_this_step = exchange.attempt_at == step.now;
-    exchange.may_have_run = exchange.may_have_run || exchange.sending || sent_in_this_step;
-    const auto server = step.state.servers.find(exchange.server);
-    if (server != step.state.servers.end()) {
-        end_outstanding(step, server->second, exchange);
-    }
-    step.add(cancel_attempt{id, exchange.attempt});
-    note_cancelled_request(step, exchange);
-}
-
 void end_left_exchange(step& step, const caller_left& event) {
     const auto id = event.exchange;
     const auto found = step.state.exchanges.find(id);
@@ -444,18 +445,17 @@
 }
 
 void mark_request_sent(step& step, const attempt_sent& event) {
-    const auto found = step.state.exchanges.find(event.exchange);
-    if (found != step.state.exchanges.end() && found->second.attempt == event.attempt) {
-        found->second.sending = true;
+    if (auto* const exchange = find_attempt(step, event.exchange, event.attempt)) {
+        exchange->sending = true;
     }
 }
 
 void end_attempt(step& step, const attempt_ended& event) {
-    const auto found = step.state.exchanges.find(event.exchange);
-    if (found == step.state.exchanges.end() || found->second.attempt != event.attempt) {
+    auto* const current = find_attempt(step, event.exchange, event.attempt);
+    if (current == nullptr) {
         return;
     }
-    auto& exchange = found->second;
+    auto& exchange = *current;
     const auto elapsed = step.now - exchange.attempt_at;
     const auto server = step.state.servers.find(exchange.server);
     if (server != step.state.servers.end()) {
@@ -558,7 +558,7 @@
 }
 
 void end_unanswered_exchanges(step& step) {
-    // A request whose answer has started has no deadline any more.
+    // Started answers are not among the deadlines; state.answer_checks holds them.
     for (const auto& [expires_at, id] : std::set(step.state.deadlines)) {
         if (step.state.exchanges.at(id).phase == exchange_phase::sent) {
             cancel_current_attempt(step, id);
--- a/source/routing/requests.hpp
+++ b/source/routing/requests.hpp
@@ -22,8 +22,6 @@
 void end_left_exchange(step& step, const caller_left& event);
 /// Records that the first byte of an attempt was written, so that the request may have run.
 void mark_request_sent(step& step, const attempt_sent& event);
-/// Cancels the attempt of a request that is at a backend server, which may go on working on it.
-void cancel_current_attempt(step& step, exchange_id id);
 /// Ends a request whose deadline has passed.
 void end_overdue_exchange(step& step, exchange_id id);
 /// Handles the outcome of an attempt: delivers, retries or answers the request.
--- a/source/routing/signals.cpp
+++ b/source/routing/signals.cpp
@@ -71,11 +71,11 @@
 } // namespace
 
 void note_signals(step& step, const signals_received& event) {
-    const auto found = step.state.exchanges.find(event.exchange);
-    if (found == step.state.exchanges.end() || found->second.attempt != event.attempt) {
+    auto* const current = find_attempt(step, event.exchange, event.attempt);
+    if (current == nullptr) {
         return;
     }
-    auto& exchange = found->second;
+    auto& exchange = *current;
     if (!event.signals.faults.empty()) {
         step.add(log_line{true,
                           "server_signal_fault",
--- a/source/routing/started_answers.cpp
+++ b/source/routing/started_answers.cpp
@@ -2,17 +2,13 @@
 
 #include <algorithm>
 
+#include "routing/exchanges.hpp"
 #include "routing/limits.hpp"
 #include "routing/requests.hpp"
 
 namespace lovagetack::routing {
 namespace {
 
-exchange* find_started(step& step, exchange_id id, model::attempt_id attempt) {
-    const auto found = step.state.exchanges.find(id);
-    return found != step.state.exchanges.end() && found->second.attempt == attempt ? &found->second : nullptr;
-}
-
 void schedule_check(step& step, exchange_id id, exchange& exchange, base::boot_time at) {
     step.state.answer_checks.erase({exchange.answer_check_at, id});
     exchange.answer_check_at = at;
@@ -22,7 +18,7 @@
 } // namespace
 
 void watch_started_answer(step& step, const answer_forwarding_started& event) {
-    auto* const exchange = find_started(step, event.exchange, event.attempt);
+    auto* const exchange = find_attempt(step, event.exchange, event.attempt);
     if (exchange == nullptr) {
         return;
     }
@@ -44,7 +40,7 @@
 }
 
 void note_answer_progress(step& step, const answer_progress& event) {
-    auto* const exchange = find_started(step, event.exchange, event.attempt);
+    auto* const exchange = find_attempt(step, event.exchange, event.attempt);
     if (exchange == nullptr) {
         return;
     }
