log: what a request's configuration was, and what becomes of messages between instances

Errors of sending a datagram, and datagrams that cannot be parsed, were swallowed. Change: the lines of a request's way name the version in force at its arrival and its age; a gap's answer has a line; messages that were not sent or were rejected have lines and metrics; so has the newest version that readers name.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -196,16 +196,25 @@
 
 void gateway::execute(const routing::send_known_changes& effect) {
     const auto changes = store_->changes_after(effect.table, effect.after);
+    std::size_t messages = 0;
     if (!changes) {
         load_exchange_.send(routing::table_changes_unknown{effect.table}, effect.receiver, state_.instances);
-        return;
-    }
-    for (const auto& change : *changes) {
-        for (auto& part : routing::divide(change, routing::rows_per_message)) {
-            load_exchange_.send(routing::send_table_change{std::move(part), {effect.receiver}}, state_.self.instance,
-                                state_.instances);
+    } else {
+        for (const auto& change : *changes) {
+            for (auto& part : routing::divide(change, routing::rows_per_message)) {
+                load_exchange_.send(routing::send_table_change{std::move(part), {effect.receiver}},
+                                    state_.self.instance, state_.instances);
+                ++messages;
+            }
         }
     }
+    log_event(false, "table_changes_sent",
+              {{"table", std::string(routing::name_of(effect.table))},
+               {"receiver", effect.receiver.value()},
+               {"after", std::to_string(number_of(effect.after))},
+               {"version", std::to_string(number_of(routing::table_version(state_, effect.table)))},
+               {"known", changes ? "1" : "0"},
+               {"messages", std::to_string(messages)}});
 }
 
 void gateway::execute(const routing::request_delivered& effect) {
@@ -227,12 +236,16 @@
          {"retries", std::to_string(state_.retries)},
          {"open", std::to_string(state_.exchanges.size())},
          {"configuration", std::to_string(state_.configuration.version)},
+         {"operators", std::to_string(number_of(routing::table_version(state_, routing::followed_table::operators)))},
          {"registry", std::to_string(number_of(routing::table_version(state_, routing::followed_table::registry)))},
          {"store_era", std::to_string(state_.store_era.value_or(0))},
          {"reader", routing::nearest_reader(state_).value()},
          {"instances_heard", std::to_string(state_.peers.size())},
          {"store_calls", std::to_string(store_->counters().calls)},
-         {"store_failures", std::to_string(store_->counters().failures)}});
+         {"store_failures", std::to_string(store_->counters().failures)},
+         {"messages_sent", std::to_string(load_exchange_.counters().sent)},
+         {"messages_failed", std::to_string(load_exchange_.counters().failed)},
+         {"messages_received", std::to_string(load_exchange_.counters().received)}});
 }
 
 std::string gateway::metrics_text() {
@@ -248,6 +261,9 @@
     gauge("lovagetack_requests_open", {}, state_.exchanges.size());
     gauge("lovagetack_caller_connections", {}, relay_.caller_connections());
     gauge("lovagetack_configuration_version", {}, state_.configuration.version);
+    gauge(
+        "lovagetack_configuration_age_seconds", {},
+        std::chrono::duration_cast<std::chrono::seconds>(base::boot_clock::now() - state_.configuration_since).count());
     gauge("lovagetack_ready", {}, routing::is_ready(state_) ? 1 : 0);
     gauge("lovagetack_keeper", {}, state_.keeper.phase == routing::keeper_phase::holding ? 1 : 0);
     gauge("lovagetack_reader", {}, state_.readers.reads ? 1 : 0);
@@ -265,8 +281,9 @@
           std::count_if(state_.stating_servers.begin(), state_.stating_servers.end(),
                         [this](const auto& id) { return state_.servers.at(id).stated.leaving_since.has_value(); }));
     for (const auto table : routing::followed_tables) {
-        gauge("lovagetack_table_version", {{"table", std::string(routing::name_of(table))}},
-              number_of(routing::table_version(state_, table)));
+        const telemetry::labels labels = {{"table", std::string(routing::name_of(table))}};
+        gauge("lovagetack_table_version", labels, number_of(routing::table_version(state_, table)));
+        gauge("lovagetack_table_newest_heard", labels, number_of(routing::newest_heard(state_, table)));
     }
     gauge("lovagetack_store_era", {}, state_.store_era.value_or(0));
     gauge("lovagetack_store_reachable", {}, state_.store_reachable ? 1 : 0);
@@ -274,6 +291,9 @@
     gauge("lovagetack_store_failures_total", {}, store_->counters().failures);
     gauge("lovagetack_store_read_bytes_total", {}, store_->counters().bytes_read);
     gauge("lovagetack_store_written_bytes_total", {}, store_->counters().bytes_written);
+    gauge("lovagetack_messages_sent_total", {}, load_exchange_.counters().sent);
+    gauge("lovagetack_messages_failed_total", {}, load_exchange_.counters().failed);
+    gauge("lovagetack_messages_received_total", {}, load_exchange_.counters().received);
     gauge("lovagetack_instances_heard", {}, state_.peers.size());
     for (const auto& [service, record] : state_.services) {
         const telemetry::labels labels = {{"service", service.value()}};
--- a/source/gateway/load_exchange.cpp
+++ b/source/gateway/load_exchange.cpp
@@ -253,9 +253,16 @@
 }
 
 void load_exchange::send(const std::string& bytes, const routing::instance_record& record) {
-    if (record.address.port != 0) {
+    if (record.address.port == 0) {
+        return;
+    }
+    ++counters_.sent;
+    const auto written =
         socket_.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()),
                               QHostAddress(QString::fromStdString(record.address.host)), record.address.port);
+    if (written != static_cast<qint64>(bytes.size())) {
+        ++counters_.failed;
+        on_event_(routing::message_not_sent{model::to_text(record.address), socket_.errorString().toStdString()});
     }
 }
 
@@ -345,10 +352,13 @@
 
 void load_exchange::receive() {
     while (socket_.hasPendingDatagrams()) {
+        ++counters_.received;
         const auto event = decode(socket_.receiveDatagram().data());
-        if (event) {
-            on_event_(event.value());
+        if (!event) {
+            on_event_(routing::message_rejected{event.error().message});
+            continue;
         }
+        on_event_(event.value());
     }
 }
 
--- a/source/gateway/load_exchange.hpp
+++ b/source/gateway/load_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -14,6 +15,13 @@
 
 namespace lovagetack::gateway {
 
+/// Totals of the messages between instances since the process started.
+struct message_counters {
+    std::uint64_t sent = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t received = 0;
+};
+
 /// Sends and receives the messages between instances, as UDP datagrams. Lost datagrams are not sent again: the next
 /// message about load, orders or renewals replaces a lost one, and the row in the store replaces a lost change of an
 /// assignment.
@@ -44,6 +52,8 @@
     void send(const routing::table_changes_unknown& message, const model::instance_id& receiver,
               const instance_records& instances);
 
+    [[nodiscard]] const message_counters& counters() const { return counters_; }
+
     [[nodiscard]] static std::string encode(const routing::instance_load& load);
     [[nodiscard]] static std::string encode(const routing::assignment_changed& change);
     [[nodiscard]] static std::string encode(const routing::renewal_orders& orders);
@@ -69,6 +79,7 @@
               const instance_records& instances);
 
     event_handler on_event_;
+    message_counters counters_;
     QUdpSocket socket_;
 };
 
--- a/source/routing/exchanges.cpp
+++ b/source/routing/exchanges.cpp
@@ -81,7 +81,8 @@
                        number_field("status", status), text_field("code", std::string(base::name_of(code))),
                        text_field("server", exchange.server.value()), number_field("attempts", exchange.attempts),
                        number_field("may_have_run", exchange.may_have_run ? 1 : 0), number_field("waited_ms", waited),
-                       number_field("configuration", step.state.configuration.version),
+                       number_field("configuration", exchange.configuration_version),
+                       number_field("configuration_age_ms", exchange.configuration_age.count()),
                        number_field("key", exchange.request.key ? static_cast<int>(*exchange.request.key) : -1)}});
     erase_exchange(step, id);
 }
--- a/source/routing/readers.cpp
+++ b/source/routing/readers.cpp
@@ -189,6 +189,10 @@
     return state.readers.versions.at(index_of(table));
 }
 
+std::uint64_t newest_heard(const state& state, followed_table table) {
+    return state.readers.newest_heard.at(index_of(table));
+}
+
 model::instance_id nearest_reader(const state& state) {
     if (state.readers.reads) {
         return state.self.instance;
@@ -243,6 +247,8 @@
     }
     for (const auto table : followed_tables) {
         const auto version = event.tables.at(index_of(table));
+        auto& newest = readers.newest_heard.at(index_of(table));
+        newest = std::max(newest, version);
         note_store_era(step, era_of(version));
         close_gap(step, table, version, event.instance);
     }
--- a/source/routing/readers.hpp
+++ b/source/routing/readers.hpp
@@ -19,6 +19,9 @@
 /// Version of the own copy of a table.
 [[nodiscard]] std::uint64_t table_version(const state& state, followed_table table);
 
+/// The newest version of a table that a reader has named; 0 if none has.
+[[nodiscard]] std::uint64_t newest_heard(const state& state, followed_table table);
+
 /// The reader of the own data centre that was heard last; this instance if it is a reader, empty if there is none.
 [[nodiscard]] model::instance_id nearest_reader(const state& state);
 
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -34,6 +34,7 @@
         return;
     }
     step.state.configuration = event.configuration;
+    step.state.configuration_since = step.now;
     step.add(log_line{false,
                       "configuration_in_force",
                       {number_field("version", event.configuration.version),
@@ -220,6 +221,15 @@
                  {text_field("request", event.request), text_field("code", std::string(base::name_of(event.code)))}});
 }
 
+void on(step& step, const message_not_sent& event) {
+    step.add(
+        log_line{true, "message_not_sent", {text_field("receiver", event.receiver), text_field("cause", event.cause)}});
+}
+
+void on(step& step, const message_rejected& event) {
+    step.add(log_line{true, "message_rejected", {text_field("cause", event.cause)}});
+}
+
 void on(step& step, const ticked& /*event*/) {
     remove_missing(step);
     end_missing_evacuations(step);
@@ -253,11 +263,11 @@
         return (std::holds_alternative<Events>(event) || ...);
     };
     return !is_any_of(
-        std::type_identity<
-            std::variant<request_arrived, caller_left, connection_dropped, attempt_sent, signals_received,
-                         answer_forwarding_started, answer_progress, attempt_ended, promise_withheld, instance_load,
-                         renewal_orders, renewal_report, reader_heartbeat, slot_request, slot_answer, slot_release,
-                         slot_report, request_strike, quarantine_objection, server_probed>>());
+        std::type_identity<std::variant<
+            request_arrived, caller_left, connection_dropped, attempt_sent, signals_received, answer_forwarding_started,
+            answer_progress, attempt_ended, promise_withheld, message_not_sent, message_rejected, instance_load,
+            renewal_orders, renewal_report, reader_heartbeat, slot_request, slot_answer, slot_release, slot_report,
+            request_strike, quarantine_objection, server_probed>>());
 }
 
 } // namespace
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -292,13 +292,14 @@
 
 void log_attempt(step& step, const exchange& exchange, const attempt_ended& event, std::chrono::microseconds elapsed) {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
-    step.add(log_line{true,
-                      "attempt_failed",
-                      {text_field("request", exchange.request.request), text_field("server", exchange.server.value()),
-                       text_field("outcome", std::string(name_of(event.outcome))), number_field("status", event.status),
-                       number_field("attempt", exchange.attempts),
-                       number_field("reused_connection", event.reused_connection ? 1 : 0),
-                       number_field("after_ms", milliseconds)}});
+    step.add(log_line{
+        true,
+        "attempt_failed",
+        {text_field("request", exchange.request.request), text_field("server", exchange.server.value()),
+         text_field("outcome", std::string(name_of(event.outcome))), number_field("status", event.status),
+         number_field("attempt", exchange.attempts), number_field("reused_connection", event.reused_connection ? 1 : 0),
+         number_field("after_ms", milliseconds), number_field("configuration", exchange.configuration_version),
+         number_field("configuration_age_ms", exchange.configuration_age.count())}});
 }
 
 } // namespace
@@ -315,15 +316,19 @@
         answer(step, id, result_code::instance_not_ready, spread_retry_after(step));
         return;
     }
+    const auto configuration_age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(step.now - state.configuration_since);
+    exchange.configuration_version = state.configuration.version;
+    exchange.configuration_age = configuration_age;
     const auto* const route = find_route(state.configuration, event.host, event.path);
     if (route == nullptr) {
         state.exchanges.erase(id);
         step.add(answer_caller{id, 404, result_code::request_service_unknown, {}});
-        step.add(
-            log_line{true,
-                     "route_unknown",
-                     {text_field("request", event.request), text_field("host", event.host),
-                      text_field("path", event.path), number_field("configuration", state.configuration.version)}});
+        step.add(log_line{true,
+                          "route_unknown",
+                          {text_field("request", event.request), text_field("host", event.host),
+                           text_field("path", event.path), number_field("configuration", state.configuration.version),
+                           number_field("configuration_age_ms", configuration_age.count())}});
         return;
     }
     exchange.kind = route->kind;
@@ -437,7 +442,8 @@
                   text_field("phase", std::string(name_of(exchange.phase))),
                   text_field("server", exchange.server.value()), number_field("attempts", exchange.attempts),
                   number_field("waited_ms", waited), number_field("deadline_ms", exchange.request.deadline.count()),
-                  number_field("configuration", step.state.configuration.version)}});
+                  number_field("configuration", exchange.configuration_version),
+                  number_field("configuration_age_ms", exchange.configuration_age.count())}});
     if (exchange.phase == exchange_phase::sent) {
         cancel_current_attempt(step, id);
     }
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -144,6 +144,9 @@
 struct exchange {
     request_arrived request;
     model::service_id service;
+    /// Version of the configuration that it was admitted by, and for how long that had been in force here.
+    std::uint64_t configuration_version = 0;
+    std::chrono::milliseconds configuration_age{0};
     request_kind kind = request_kind::non_idempotent;
     std::int32_t priority = 0;
     std::int32_t attempts_left = 1;
@@ -429,6 +432,8 @@
     base::boot_time reader_heard_at;
     base::boot_time heartbeat_at;
     std::array<std::uint64_t, followed_table_count> versions{};
+    /// The newest versions that readers have named.
+    std::array<std::uint64_t, followed_table_count> newest_heard{};
     /// When a gap in a table was first seen, and when its changes were last asked for.
     std::array<base::boot_time, followed_table_count> gap_since{};
     std::array<base::boot_time, followed_table_count> asked_at{};
@@ -491,6 +496,8 @@
     bool assignments_known = false;
 
     routing::configuration configuration;
+    /// When it came into force at this instance.
+    base::boot_time configuration_since;
     std::set<model::data_centre_id> evacuated;
     /// Evacuations as the store shows them. Those that it no longer shows after its restoration stay in force until the
     /// operators have had time to write them again.
