routing: a removal counts although the row it removes was not known

What callers would see: a backend server that has left, or an evacuation that was taken back, is in use again until the next whole read of the table. Cause: a copy remembered the version of a removal only for rows that it had. When the message of the addition came after that of the removal (datagrams change places, and asks for gaps repeat them), the row was added and stayed. Result: the new test failed before (the late addition was taken over) and passes; tests of table copies, readers and the age of the configuration pass.

--- a/source/routing/table_copy.cpp
+++ b/source/routing/table_copy.cpp
@@ -29,6 +29,19 @@
     versions_[row.key] = row.version;
 }
 
+void table_copy::take_over_news(const std::vector<table_row>& rows, std::vector<table_row>& news) {
+    for (const auto& row : rows) {
+        if (is_news(row)) {
+            take_over(row);
+            news.push_back(row);
+        } else if (row.removed && !versions_.contains(row.key)) {
+            // The message of the row's addition may still come.
+            auto& removed = removed_versions_[row.key];
+            removed = std::max(removed, row.version);
+        }
+    }
+}
+
 void table_copy::remember(const table_change& change) {
     changes_.push_back(change);
     remembered_rows_ += change.rows.size();
@@ -42,11 +55,8 @@
     table_change news{table_, version_, version_, {}};
     for (const auto& row : rows) {
         news.version = std::max(news.version, row.version);
-        if (is_news(row)) {
-            take_over(row);
-            news.rows.push_back(row);
-        }
     }
+    take_over_news(rows, news.rows);
     if (news.version > version_) {
         version_ = news.version;
         remember(news);
@@ -60,11 +70,8 @@
     for (const auto& row : rows) {
         read.insert(row.key);
         news.version = std::max(news.version, row.version);
-        if (is_news(row)) {
-            take_over(row);
-            news.rows.push_back(row);
-        }
     }
+    take_over_news(rows, news.rows);
     std::vector<table_row> removed;
     for (const auto& [key, known] : versions_) {
         if (!read.contains(key) && known <= version) {
@@ -91,12 +98,7 @@
     if (era_of(change.version) != era_of(version_) || era_of(change.base) != era_of(version_)) {
         return news;
     }
-    for (const auto& row : change.rows) {
-        if (is_news(row)) {
-            take_over(row);
-            news.rows.push_back(row);
-        }
-    }
+    take_over_news(change.rows, news.rows);
     if (change.base <= version_ && change.version > version_) {
         version_ = change.version;
         remember(change);
--- a/source/routing/table_copy.hpp
+++ b/source/routing/table_copy.hpp
@@ -42,6 +42,8 @@
 private:
     [[nodiscard]] bool is_news(const table_row& row) const;
     void take_over(const table_row& row);
+    /// Takes over the rows that are news and appends them to `news`.
+    void take_over_news(const std::vector<table_row>& rows, std::vector<table_row>& news);
     void remember(const table_change& change);
 
     followed_table table_;
--- a/tests/routing/table_copy_test.cpp
+++ b/tests/routing/table_copy_test.cpp
@@ -157,6 +157,15 @@
     }
 }
 
+// Guards against a backend server in use again after its removal, when the message of its addition arrives last.
+TEST_CASE("a row whose removal came before its addition stays removed") {
+    auto copy = copy_of({row("a", 3)}, 3);
+    REQUIRE(copy.apply_message({followed_table::registry, 7, 9, {removal("b", 9)}}).rows.empty());
+    REQUIRE(copy.apply_message({followed_table::registry, 3, 7, {row("b", 7)}}).rows.empty());
+    REQUIRE_FALSE(copy.contains("b"));
+    REQUIRE(copy.apply_message({followed_table::registry, 9, 12, {row("b", 12)}}).rows.size() == 1);
+}
+
 // A change tells only of the rows that its sender knew, and a part of one not of the removals that follow.
 TEST_CASE("a copy enters a new era of the store only by a whole read") {
     const auto in_new_era = [](std::uint64_t number) { return store_version(1, number).ordered(); };
