routing: a stopping instance begins no work that its exit would break off

Cause: admission in a shutdown went by a fixed time, whatever the grace period and the service's work are. Change: the shutdown tells the routing when open requests are broken off; a request of a service whose usual work, taken twice, would end later is refused as not run before it is passed on, unless its own time ends before that. Result: the new test failed before (the request was sent) and passes with the other tests of requests (29 cases).

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -146,7 +146,7 @@
     on_stopped_ = std::move(on_stopped);
     shutdown_started_at_ = base::boot_clock::now();
     relay_.begin_closing();
-    handle(routing::shutdown_begun{});
+    handle(routing::shutdown_begun{settings_.grace - exit_margin - answer_time});
 }
 
 void gateway::continue_shutdown() {
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -552,7 +552,10 @@
 struct ticked {};
 
 /// Shutdown of the instance begins: it is no longer ready, and gives up the keeper's lease.
-struct shutdown_begun {};
+struct shutdown_begun {
+    /// Time until open requests are broken off.
+    std::chrono::milliseconds time_left = std::chrono::hours(1);
+};
 
 /// The rest of the grace period of a shutdown is too short for work at a backend server that has not begun.
 struct shutdown_nears_end {};
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -58,6 +58,9 @@
 /// of the grace period.
 inline constexpr std::chrono::microseconds admission_after_stop = 2800ms;
 
+/// Work that is begun during a shutdown has this multiple of its usual time until open requests are broken off.
+inline constexpr int work_time_before_exit = 2;
+
 /// Pause in new work for a backend server after it was full.
 inline constexpr std::chrono::microseconds full_server_pause = 60ms;
 /// Pause after a failed connection; doubles with each consecutive failure up to the longest pause.
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -242,9 +242,10 @@
     run_asks(step);
 }
 
-void on(step& step, const shutdown_begun& /*event*/) {
+void on(step& step, const shutdown_begun& event) {
     step.state.shutting_down = true;
     step.state.shutdown_begun_at = step.now;
+    step.state.work_ends_at = step.now + event.time_left;
 }
 
 void on(step& step, const shutdown_nears_end& /*event*/) {
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -248,6 +248,16 @@
     server.queue.insert({exchange.priority, exchange.request.arrived, id});
 }
 
+/// Whether this instance would most likely exit before the request has ended, so that its caller would not learn the
+/// outcome.
+bool outlasts_shutdown(step& step, const exchange& exchange) {
+    if (!step.state.shutting_down) {
+        return false;
+    }
+    const auto usual_end = step.now + service_of(step, exchange).service_time * work_time_before_exit;
+    return std::min(usual_end, exchange.expires_at) > step.state.work_ends_at;
+}
+
 /// Places the request again if its deadline, the attempt limit and the retry budget permit; false if the caller has to
 /// be answered instead. `takes_token`: charge the retry budget.
 bool retry(step& step, exchange_id id, bool takes_token) {
@@ -372,6 +382,10 @@
     if (exchange.phase == exchange_phase::asking) {
         return;
     }
+    if (outlasts_shutdown(step, exchange)) {
+        answer(step, id, result_code::request_shutting_down, spread_retry_after(step));
+        return;
+    }
     if (divided_by_key(step.state, exchange.service)) {
         place_at_owner(step, id, true);
         return;
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -498,6 +498,8 @@
     std::mt19937_64 random;
     bool shutting_down = false;
     base::boot_time shutdown_begun_at;
+    /// When open requests are broken off.
+    base::boot_time work_ends_at;
     /// The end of a shutdown is so near that nothing more is sent to backend servers.
     bool sends_nothing_more = false;
     bool registry_known = false;
--- a/tests/routing/requests_test.cpp
+++ b/tests/routing/requests_test.cpp
@@ -214,6 +214,35 @@
     REQUIRE(instance.answers(late).front().retry_after > 0ms);
 }
 
+// Guards against work that is begun in a shutdown, broken off with it, and of unknown outcome to its caller.
+TEST_CASE("in a shutdown, work that usually lasts longer than the rest of the grace period is refused as not run") {
+    instance instance(2);
+    const auto lasting = [&instance](std::chrono::milliseconds time) {
+        for (int number = 0; number < 200; ++number) {
+            const auto id = instance.request("/get/1", 10000ms);
+            instance.advance_time(time);
+            const auto attempt = instance.sent(id).back().attempt;
+            instance.process_event(attempt_sent{id, attempt});
+            instance.process_event(
+                attempt_ended{id, attempt, attempt_outcome::delivered, 200, false, reported_load{1, 0, 2, 100}});
+        }
+    };
+    lasting(600ms);
+    instance.process_event(shutdown_begun{2000ms});
+    const auto early = instance.request("/pay/1");
+    CHECK(instance.sent(early).size() == 1);
+    instance.advance_time(1500ms);
+    const auto late = instance.request("/pay/2");
+    CHECK(instance.sent(late).empty());
+    REQUIRE(instance.answers(late).size() == 1);
+    CHECK(instance.answers(late).front().status == 503);
+    CHECK(instance.answers(late).front().code == base::result_code::request_shutting_down);
+    CHECK(instance.answers(late).front().retry_after > 0ms);
+    // Work of another service is short, and a caller that waits for no longer than that loses nothing.
+    CHECK(instance.sent(instance.request("/look/1")).size() == 1);
+    CHECK(instance.sent(instance.request("/pay/3", 400ms)).size() == 1);
+}
+
 // Guards against requests that end without an answer when the process does, although nothing has been sent yet, and
 // against requests that are sent too late to be answered.
 TEST_CASE("shortly before the end of a shutdown, requests that were not sent are refused as not run") {
