store: a call that is cut is no outage

Cause: the store counted as lost at the first failed call when the last answer was 0.8 s old, which is any time without changes, as calls for changes are held.

--- a/tests/operators_platform/store_test.cpp
+++ b/tests/operators_platform/store_test.cpp
@@ -440,6 +440,58 @@
     REQUIRE(waits[3] == waits[0]);
 }
 
+// Guards against a store that counts as lost, and its registry as incomplete, when it cuts the calls that it holds.
+TEST_CASE("calls that are cut after a long wait are no outage of the store") {
+    fixture test;
+    int calls = 0;
+    bool cut = false;
+    test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
+        if (request.path.contains("rows-tx")) {
+            return fake_answer{200, R"({"ver": 1, "now_ms": 1})"};
+        }
+        if (request.path.contains("rows-get")) {
+            return rows({}, 5);
+        }
+        calls += cut ? 1 : 0;
+        return cut ? std::optional(rows({}, 5)) : std::nullopt;
+    };
+    test.client->start({});
+    test.client->execute(routing::follow_store{true, routing::own_wait});
+    const auto begun_at = base::boot_clock::now();
+    REQUIRE(platform::wait_until([&] { return base::boot_clock::now() - begun_at > std::chrono::milliseconds(1300); }));
+    cut = true;
+    test.server->close_all();
+    REQUIRE(platform::wait_until([&] { return calls >= 6; }));
+    REQUIRE(test.all<routing::store_reachability_changed>().empty());
+}
+
+TEST_CASE("a store that fails calls for a while is lost until it answers again") {
+    const bool refuses = GENERATE(false, true);
+    fixture test;
+    bool down = false;
+    test.on_request = [&](const fake_request& request) -> std::optional<fake_answer> {
+        if (down) {
+            return refuses ? std::optional(fake_answer{503, "{}"}) : std::nullopt;
+        }
+        if (request.path.contains("rows-tx")) {
+            return fake_answer{200, R"({"ver": 1, "now_ms": 1})"};
+        }
+        return rows({}, 5);
+    };
+    test.client->start({});
+    test.client->execute(routing::follow_store{true, routing::own_wait});
+    REQUIRE(platform::wait_until([&] { return test.all<routing::assignments_complete>().size() == 1; }));
+    const auto changes = [&] { return test.all<routing::store_reachability_changed>(); };
+    down = true;
+    const auto down_at = base::boot_clock::now();
+    REQUIRE(platform::wait_until([&] { return changes().size() == 1; }));
+    REQUIRE_FALSE(changes().front().reachable);
+    REQUIRE(base::boot_clock::now() - down_at < std::chrono::milliseconds(4000));
+    down = false;
+    REQUIRE(platform::wait_until([&] { return changes().size() == 2; }));
+    REQUIRE(changes().back().reachable);
+}
+
 TEST_CASE("a quarantine is a row of the own table that is written, learned and removed") {
     fixture test;
     std::vector<QByteArray> written;
--- a/tests/platform/fake_http_server.hpp
+++ b/tests/platform/fake_http_server.hpp
@@ -67,6 +67,15 @@
         }
     }
 
+    /// Closes every open connection.
+    void close_all() {
+        for (const auto& socket : sockets_) {
+            if (socket) {
+                socket->disconnectFromHost();
+            }
+        }
+    }
+
     int connections = 0;
 
 private:
