grants: a release has a connection of its own

Cause: grants and releases went over kept connections, and nothing in an answer tells which call it answers. A second copy of the answer to a renewal, in front of the answer to a release, was taken for that one: the former owner counted as finished. Change: a release opens a connection, which is closed after its answer, so that no answer to another call can come on it. Renewals stay on kept connections: a copy among them can confirm a token that its server has rejected, but moves no key.

--- a/source/http/call.cpp
+++ b/source/http/call.cpp
@@ -73,7 +73,7 @@
         return;
     }
     const auto connection = std::exchange(connection_, nullptr);
-    if (!connection->is_idle()) {
+    if (!connection->is_idle() || use_ == connection_use::own) {
         connection->abort();
     }
     pool_.release(connection);
--- a/source/http/call.hpp
+++ b/source/http/call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -25,6 +26,14 @@
     std::string body;
 };
 
+/// Which connections a call may use.
+enum class connection_use : std::uint8_t {
+    /// One that carried other calls before, and that carries others afterwards.
+    shared,
+    /// A new one that is closed after the call, so that no copy of another call's answer can arrive on it.
+    own,
+};
+
 /// A small request that the instance itself sends; the whole answer is collected in memory.
 class call final : private connection_pool::waiter, private client_connection::handler {
 public:
@@ -40,7 +49,10 @@
     call& operator=(const call&) = delete;
     ~call() override;
 
-    void begin() { pool_.acquire(*this, false); }
+    void begin(connection_use use = connection_use::shared) {
+        use_ = use;
+        pool_.acquire(*this, use == connection_use::own);
+    }
 
     /// A longer answer body fails the call.
     static constexpr std::size_t longest_body_bytes = std::size_t(4) * 1024 * 1024;
@@ -63,6 +75,7 @@
     std::string text_;
     done_function done_;
     call_result result_;
+    connection_use use_ = connection_use::shared;
     std::shared_ptr<client_connection> connection_;
     QTimer timer_;
     std::chrono::milliseconds timeout_;
--- a/source/http/call_list.hpp
+++ b/source/http/call_list.hpp
@@ -16,7 +16,8 @@
 class call_list {
 public:
     /// `done` as for a call; the pool must outlive the list.
-    void begin(connection_pool& pool, std::string text, std::chrono::milliseconds timeout, call::done_function done) {
+    void begin(connection_pool& pool, std::string text, std::chrono::milliseconds timeout, call::done_function done,
+               connection_use use = connection_use::shared) {
         forget_ended();
         calls_.emplace_back();
         const auto position = std::prev(calls_.end());
@@ -25,7 +26,7 @@
                                                ended_.splice(ended_.end(), calls_, position);
                                                done(result);
                                            });
-        (*position)->begin();
+        (*position)->begin(use);
     }
 
     void forget_ended() { ended_.clear(); }
--- a/tests/operators_platform/grants_test.cpp
+++ b/tests/operators_platform/grants_test.cpp
@@ -31,4 +31,71 @@
     REQUIRE(received == 0);
 }
 
+// Guards against keys that are granted while their former owner is at work on them: a server may send a second, late
+// copy of an answer, in front of the next one on that connection.
+TEST_CASE("a late copy of a grant's answer is not taken for the answer to a release") {
+    platform::application application;
+    int releases = 0;
+    platform::fake_http_server server(
+        [&](const platform::fake_request& request) -> std::optional<platform::fake_answer> {
+            if (request.path == "/v1/grant") {
+                return platform::fake_answer{200, "{}"};
+            }
+            ++releases;
+            return std::nullopt;
+        });
+    std::vector<routing::grant_ended> granted;
+    std::vector<routing::release_ended> released;
+    grants client([&](const routing::event& event) {
+        if (const auto* const grant = std::get_if<routing::grant_ended>(&event)) {
+            granted.push_back(*grant);
+        }
+        if (const auto* const release = std::get_if<routing::release_ended>(&event)) {
+            released.push_back(*release);
+        }
+    });
+    routing::grant_range grant;
+    grant.server = model::backend_server_id("i-1");
+    grant.address = server.address();
+    grant.fence = 7;
+    grant.hold = routing::hold_time;
+    client.execute(grant);
+    REQUIRE(platform::wait_until([&] { return !granted.empty(); }));
+    REQUIRE(granted.front().outcome == routing::grant_outcome::accepted);
+    routing::release_range release;
+    release.server = grant.server;
+    release.address = grant.address;
+    release.fence = 7;
+    client.execute(release);
+    REQUIRE(platform::wait_until([&] { return releases == 1; }));
+    server.send_to_first("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    const auto copied_at = base::boot_clock::now();
+    (void)platform::wait_until([&] { return base::boot_clock::now() - copied_at > std::chrono::milliseconds(300); });
+    REQUIRE(released.empty());
+}
+
+TEST_CASE("a connection that carried a release carries nothing else") {
+    platform::application application;
+    platform::fake_http_server server([](const platform::fake_request& /*request*/) {
+        return platform::fake_answer{200, "{}"};
+    });
+    int ended = 0;
+    grants client([&](const routing::event& /*event*/) { ++ended; });
+    routing::release_range release;
+    release.server = model::backend_server_id("i-1");
+    release.address = server.address();
+    routing::grant_range grant;
+    grant.server = release.server;
+    grant.address = release.address;
+    grant.hold = routing::hold_time;
+    client.execute(release);
+    REQUIRE(platform::wait_until([&] { return ended == 1; }));
+    client.execute(grant);
+    REQUIRE(platform::wait_until([&] { return ended == 2; }));
+    REQUIRE(server.connections == 2);
+    client.execute(grant);
+    REQUIRE(platform::wait_until([&] { return ended == 3; }));
+    REQUIRE(server.connections == 2);
+}
+
 } // namespace lovagetack::operators_platform
--- a/tests/platform/fake_http_server.hpp
+++ b/tests/platform/fake_http_server.hpp
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Sends bytes on the first connection.
+    void send_to_first(const QByteArray& bytes) {
+        if (!sockets_.empty() && sockets_.front()) {
+            sockets_.front()->write(bytes);
+        }
+    }
+
     /// Closes every open connection.
     void close_all() {
         for (const auto& socket : sockets_) {
