routing: name the wait of small deployments, no age without a configuration

Found when reading the change: own_wait did not say whose wait it is, and the metric of the configuration's age told the time since boot before there was one. No other behaviour changes. test_operators_platform and the tests of tables, readers and requests pass.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -260,9 +260,11 @@
     gauge("lovagetack_requests_open", {}, state_.exchanges.size());
     gauge("lovagetack_caller_connections", {}, relay_.caller_connections());
     gauge("lovagetack_configuration_version", {}, state_.configuration.version);
-    gauge(
-        "lovagetack_configuration_age_seconds", {},
-        std::chrono::duration_cast<std::chrono::seconds>(base::boot_clock::now() - state_.configuration_since).count());
+    if (state_.configuration.version > 0) {
+        const auto age = base::boot_clock::now() - state_.configuration_since;
+        gauge("lovagetack_configuration_age_seconds", {},
+              std::chrono::duration_cast<std::chrono::seconds>(age).count());
+    }
     gauge("lovagetack_ready", {}, routing::is_ready(state_) ? 1 : 0);
     gauge("lovagetack_keeper", {}, state_.keeper.phase == routing::keeper_phase::holding ? 1 : 0);
     gauge("lovagetack_reader", {}, state_.readers.reads ? 1 : 0);
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -208,8 +208,8 @@
 /// A gap in a table is closed after this time: the missing message may only be late.
 inline constexpr std::chrono::microseconds gap_tolerance = 60ms;
 inline constexpr std::chrono::microseconds gap_retry = 200ms;
-/// Operators count on a change, and on the word that a server leaves, two seconds after its acknowledgement. A copy
-/// that was not known to be current for this long is compared with the store itself; the rest is left for that call.
+/// Operators count on a change, and on the word that a server leaves, two seconds after its acknowledgement. An
+/// instance whose copy was not known to be current for this long asks the store itself; the rest is left for that call.
 /// The instances of a data centre are spread over the second time.
 inline constexpr std::chrono::microseconds longest_unconfirmed = 1500ms;
 inline constexpr std::chrono::microseconds unconfirmed_spread = 200ms;
@@ -219,7 +219,7 @@
 /// Readers confirm the copies of others within longest_unconfirmed; an instance of a small deployment has to notice the
 /// silence, and to have asked again, before the operators count on it again, which is three seconds later.
 inline constexpr std::chrono::milliseconds reader_wait = 900ms;
-inline constexpr std::chrono::milliseconds own_wait = 1800ms;
+inline constexpr std::chrono::milliseconds small_deployment_wait = 1800ms;
 /// Most rows in one message, so that it stays well below the size of a datagram.
 inline constexpr std::size_t rows_per_message = 40;
 
--- a/source/routing/readers.cpp
+++ b/source/routing/readers.cpp
@@ -190,7 +190,7 @@
     }
     const bool is_keeper = state.keeper.phase == keeper_phase::holding || state.keeper.phase == keeper_phase::reading;
     const bool follows = reads || is_keeper;
-    const auto longest_wait = is_large(state) ? reader_wait : own_wait;
+    const auto longest_wait = is_large(state) ? reader_wait : small_deployment_wait;
     if (follows != readers.follows_store || longest_wait != readers.longest_wait) {
         readers.follows_store = follows;
         readers.longest_wait = longest_wait;
--- a/tests/operators_platform/store_test.cpp
+++ b/tests/operators_platform/store_test.cpp
@@ -95,7 +95,7 @@
         return std::nullopt;
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     REQUIRE(platform::wait_until([&] { return feed_calls >= 3; }));
     REQUIRE(test.all<routing::registry_complete>().size() == 2);
     const auto updated = test.all<routing::backend_server_updated>();
@@ -158,7 +158,7 @@
         }
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     REQUIRE(platform::wait_until([&] { return feed_calls >= 3; }));
     std::vector<std::string> updated;
     for (const auto& event : test.all<routing::backend_server_updated>()) {
@@ -201,7 +201,7 @@
         }
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     REQUIRE(platform::wait_until([&] { return feed_calls >= 3; }));
     REQUIRE(followed[1].contains("after=6&"));
     REQUIRE(followed[2].contains("after=7&"));
@@ -239,7 +239,7 @@
         return in_era(2, {410, "{}"});
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     REQUIRE(platform::wait_until([&] { return read_at != base::boot_time(); }));
     REQUIRE(read_at - restored_at < std::chrono::milliseconds(1000));
 }
@@ -311,7 +311,7 @@
                               : rows({row("op", "evacuate/mahebourg", "{}", 9)}, 9);
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     REQUIRE(platform::wait_until([&] {
         return !test.all<routing::backend_server_updated>().empty() ||
                !test.all<routing::evacuations_updated>().empty();
@@ -340,7 +340,7 @@
         return held_calls == 0 ? rows({}, 5) : rows({row("op", "evacuate/mahebourg", "{}", 9)}, 9);
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     REQUIRE(platform::wait_until([&] { return held_calls == 1; }));
     const auto asked_at = base::boot_clock::now();
     test.client->execute(routing::catch_up{routing::followed_table::operators});
@@ -368,7 +368,7 @@
         return feed_calls == 1 ? std::optional(in_era(2, {410, "{}"})) : std::nullopt;
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     REQUIRE(platform::wait_until([&] { return feed_calls >= 2 && writes >= 2; }));
 }
 
@@ -432,9 +432,9 @@
         }
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     REQUIRE(platform::wait_until([&] { return waits.size() >= 4; }));
-    REQUIRE(waits[0].toInt() == routing::own_wait.count());
+    REQUIRE(waits[0].toInt() == routing::small_deployment_wait.count());
     REQUIRE(waits[1].toInt() <= 200);
     REQUIRE(waits[2].toInt() <= 200);
     REQUIRE(waits[3] == waits[0]);
@@ -456,7 +456,7 @@
         return cut ? std::optional(rows({}, 5)) : std::nullopt;
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     const auto begun_at = base::boot_clock::now();
     REQUIRE(platform::wait_until([&] { return base::boot_clock::now() - begun_at > std::chrono::milliseconds(1300); }));
     cut = true;
@@ -479,7 +479,7 @@
         return rows({}, 5);
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     REQUIRE(platform::wait_until([&] { return test.all<routing::assignments_complete>().size() == 1; }));
     const auto changes = [&] { return test.all<routing::store_reachability_changed>(); };
     down = true;
@@ -517,7 +517,7 @@
         return rows({removed}, 7);
     };
     test.client->start({});
-    test.client->execute(routing::follow_store{true, routing::own_wait});
+    test.client->execute(routing::follow_store{true, routing::small_deployment_wait});
     REQUIRE(platform::wait_until([&] { return !test.all<routing::quarantine_removed>().empty(); }));
     REQUIRE(test.all<routing::quarantine_learned>().size() == 1);
     CHECK(test.all<routing::quarantine_learned>().front().request == request);
