--- a/tests/operators_platform/grants_test.cpp
+++ b/tests/operators_platform/grants_test.cpp
@@ -74,6 +74,23 @@
     REQUIRE(released.empty());
 }
 
+// Guards against an answer of another kind on the connection of a release.
+TEST_CASE("a release is proved by the handover in its answer") {
+    const bool proved = GENERATE(false, true);
+    platform::application application;
+    platform::fake_http_server server([proved](const platform::fake_request& /*request*/) {
+        return platform::fake_answer{200, "", proved ? "Lovagetack-Handover: 5c0e7a21d94b36f8\r\n" : ""};
+    });
+    std::vector<routing::release_ended> ended;
+    grants client([&](const routing::event& event) { ended.push_back(std::get<routing::release_ended>(event)); });
+    routing::release_range release;
+    release.server = model::backend_server_id("i-1");
+    release.address = server.address();
+    client.execute(release);
+    REQUIRE(platform::wait_until([&] { return !ended.empty(); }));
+    REQUIRE(ended.front().released == proved);
+}
+
 TEST_CASE("a connection that carried a release carries nothing else") {
     platform::application application;
     platform::fake_http_server server([](const platform::fake_request& /*request*/) {
