--- a/tests/routing/configuration_age_test.cpp
+++ b/tests/routing/configuration_age_test.cpp
@@ -23,6 +23,7 @@
 
 TEST_CASE("a change is in force in time when messages of one instance are lost") {
     table_play play(3, 10, 1);
+    // Far from becoming a reader.
     constexpr int follower = 20;
     play.set_mute(follower, true);
     play.lose_messages(0.5);
@@ -54,7 +55,7 @@
     require_in_force_in_time(play, 6s);
 }
 
-// Readers come, go and hang while the change passes through the end of a partition, a step of the simulation at a time.
+// Readers come, go and hang while the time of the change passes through the end of a partition.
 TEST_CASE("a change beside the end of a partition is in force in time") {
     const int offset = GENERATE(range(-300, 310, 20));
     table_play play(3, 10, static_cast<std::uint64_t>(1000 + offset));
