accounts: requests are identified by the keys of client accounts

Cause: nothing knew client accounts.

Change: the configuration has client accounts, read from `tenants`. A request without a valid key gets 401 (before its body is received, and before anything else is judged), the server gets the account's name in place of whatever the caller sent, and the account's priority goes before the route's. Without client accounts in the configuration the fields are passed on as before.

Result: tests of accounts, operators_platform, gateway and base pass, and those of routing about keys, accounts and shutdown; new ones for each line above.

--- a/source/base/result_code.cpp
+++ b/source/base/result_code.cpp
@@ -56,6 +56,16 @@
         return "request_answer_malformed";
     case result_code::request_quarantined:
         return "request_quarantined";
+    case result_code::request_unauthenticated:
+        return "request_unauthenticated";
+    case result_code::request_over_allowance:
+        return "request_over_allowance";
+    case result_code::request_allowance_unknown:
+        return "request_allowance_unknown";
+    case result_code::request_memory_full:
+        return "request_memory_full";
+    case result_code::request_body_too_slow:
+        return "request_body_too_slow";
     case result_code::ownership_no_owner:
         return "ownership_no_owner";
     case result_code::ownership_epoch_refused:
--- a/source/base/result_code.hpp
+++ b/source/base/result_code.hpp
@@ -35,6 +35,11 @@
     request_too_many_connections = 2021,
     request_answer_malformed = 2022,
     request_quarantined = 2023,
+    request_unauthenticated = 2024,
+    request_over_allowance = 2025,
+    request_allowance_unknown = 2026,
+    request_memory_full = 2027,
+    request_body_too_slow = 2028,
 
     ownership_no_owner = 3001,
     ownership_epoch_refused = 3002,
--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -57,6 +57,9 @@
     std::string text;
     text.reserve(exchange_.head.size() + exchange_.body.size() + 256);
     text.append(exchange_.head);
+    if (!effect_.account) {
+        text.append(exchange_.account_fields);
+    }
     dialect_.append_attempt_fields(text, effect_);
     if (exchange_.has_body) {
         http::append_field(text, "Content-Length", static_cast<std::uint64_t>(exchange_.body.size()));
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -33,6 +33,8 @@
     base::boot_time arrived;
     /// Request line and header fields for every attempt.
     std::string head;
+    /// Fields that are sent on only where no client accounts are configured.
+    std::string account_fields;
     std::string body;
     bool is_head = false;
     bool has_body = false;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -255,6 +255,8 @@
         gauge("lovagetack_requests_not_delivered_total", {{"code", std::string(base::name_of(code))}}, count);
     }
     gauge("lovagetack_requests_delivered_total", {}, state_.delivered);
+    gauge("lovagetack_requests_unauthenticated_total", {}, state_.unauthenticated);
+    gauge("lovagetack_client_accounts", {}, state_.configuration.accounts.accounts().size());
     gauge("lovagetack_retries_total", {}, state_.retries);
     gauge("lovagetack_ranges_moved_total", {}, state_.moves);
     gauge("lovagetack_requests_open", {}, state_.exchanges.size());
--- a/source/gateway/ports.hpp
+++ b/source/gateway/ports.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "accounts/credential.hpp"
 #include "http/client_connection.hpp"
 #include "http/server_connection.hpp"
 #include "routing/effect.hpp"
@@ -71,6 +72,8 @@
     std::string path;
     std::optional<std::uint32_t> key;
     std::chrono::milliseconds deadline{0};
+    /// The key of a client account that the request shows; nothing without one or with a field that cannot be one.
+    std::optional<accounts::credential> credential;
 };
 
 /// Fields of the header of a backend server's answer.
@@ -99,14 +102,17 @@
 
     [[nodiscard]] virtual caller_header read(const http::server_connection::request& request) const = 0;
     [[nodiscard]] virtual server_header read(const http::client_connection::answer& answer) const = 0;
-    /// Request line and fields for a backend server, without those of append_attempt_fields.
+    /// Request line and fields for a backend server, without those of account_fields and append_attempt_fields.
     [[nodiscard]] virtual std::string request_head(const http::server_connection& caller) const = 0;
+    /// Field lines in which the caller shows a key or names a client account. They are passed on only where no client
+    /// accounts are configured.
+    [[nodiscard]] virtual std::string account_fields(const http::server_connection& caller) const = 0;
     /// Appends the fields that differ between attempts.
     virtual void append_attempt_fields(std::string& head, const routing::send_request& attempt) const = 0;
     /// Field lines of a backend server's answer that are passed on to the caller.
     [[nodiscard]] virtual std::string answer_fields(const http::client_connection::answer& answer) const = 0;
     /// Field lines of an answer that this instance creates instead of a backend server.
-    [[nodiscard]] virtual std::string local_answer_fields(const std::string& request,
+    [[nodiscard]] virtual std::string local_answer_fields(const std::string& request, int status,
                                                           std::chrono::milliseconds retry_after) const = 0;
     [[nodiscard]] virtual bool is_readiness_request(const http::server_connection::request& request) const = 0;
 };
--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -81,12 +81,18 @@
     item->header = dialect_.read(connection.message());
     item->arrived = base::boot_clock::now();
     item->head = dialect_.request_head(connection);
+    item->account_fields = dialect_.account_fields(connection);
     item->is_head = connection.message().method() == boost::beast::http::verb::head;
     item->has_body = connection.request_framing() != http::body_framing::none;
     connection.limit_body(limits_.body_bytes);
     connection.set_tag(item->id);
+    const routing::request_announced event{item->id, item->header.host, item->header.path, item->header.credential};
+    const bool has_body = item->has_body;
+    exchanges_.emplace(event.exchange, std::move(item));
+    if (has_body) {
+        on_event_(event);
+    }
     connection.send_continue();
-    exchanges_.emplace(item->id, std::move(item));
 }
 
 void relay::request_body(http::server_connection& connection, std::string_view bytes) {
@@ -109,6 +115,7 @@
     event.deadline = item->header.deadline;
     event.arrived = item->arrived;
     event.fingerprint = fingerprint_of(connection, *item);
+    event.credential = item->header.credential;
     on_event_(event);
 }
 
@@ -237,7 +244,7 @@
         retry_after = std::chrono::milliseconds(0);
     }
     caller->answer_error(status, effect.code, base::name_of(effect.code),
-                         dialect_.local_answer_fields(item->header.request, retry_after));
+                         dialect_.local_answer_fields(item->header.request, status, retry_after));
     erase(effect.exchange);
 }
 
--- a/source/model/ids.hpp
+++ b/source/model/ids.hpp
@@ -13,6 +13,7 @@
 using data_centre_id = base::strong_id<struct data_centre_tag>;
 using service_id = base::strong_id<struct service_tag>;
 using backend_server_id = base::strong_id<struct backend_server_tag>;
+using client_account_id = base::strong_id<struct client_account_tag>;
 using request_id = base::strong_id<struct request_tag>;
 
 /// Number of one run of an instance: its start in milliseconds since 1970. A later run of the same name is higher.
--- a/source/routing/catalogue.hpp
+++ b/source/routing/catalogue.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "accounts/directory.hpp"
 #include "model/address.hpp"
 #include "model/ids.hpp"
 
@@ -42,6 +43,8 @@
     /// Maximum number of backend servers to which one request is sent.
     std::int32_t most_attempts = 1;
     std::vector<route_target> targets;
+    /// Requests need no key of a client account.
+    bool anonymous = false;
 };
 
 /// Settings of one service.
@@ -70,6 +73,8 @@
     std::vector<route> routes;
     std::map<model::service_id, service_settings> services;
     caller_limits limits;
+    /// Empty if requests are not told apart by client accounts.
+    accounts::directory accounts;
 };
 
 /// A backend server's entry in the registry.
--- a/source/routing/effect.hpp
+++ b/source/routing/effect.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -25,6 +26,9 @@
     /// The request must not run twice. It uses only a recently used connection or a new one, since it cannot be sent
     /// again if an idle connection turns out to be closed.
     bool at_most_once = false;
+    /// The client account that the server is told; empty for an anonymous request. Nothing if no client accounts are
+    /// configured.
+    std::optional<model::client_account_id> account;
 };
 
 /// Drops an attempt and its connection; it is not reported as ended.
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "accounts/credential.hpp"
 #include "base/boot_time.hpp"
 #include "base/result_code.hpp"
 #include "model/ids.hpp"
@@ -233,6 +234,15 @@
 
 // Requests of callers.
 
+/// The header of a request with a body has been received.
+struct request_announced {
+    exchange_id exchange = 0;
+    std::string host;
+    std::string path;
+    /// The key that the request shows; nothing without a key or with a field that cannot be one.
+    std::optional<accounts::credential> credential;
+};
+
 /// The whole request has been received.
 struct request_arrived {
     exchange_id exchange = 0;
@@ -244,6 +254,8 @@
     std::chrono::milliseconds deadline{0};
     base::boot_time arrived;
     request_fingerprint fingerprint = 0;
+    /// As in request_announced.
+    std::optional<accounts::credential> credential;
 };
 
 struct caller_left {
@@ -570,9 +582,9 @@
                  quarantine_learned, quarantine_removed, request_strike, quarantine_objection, server_probed,
                  lease_read, rows_written, assignments_read, grant_ended, release_ended, renewal_orders, renewal_report,
                  table_updated, slot_request, slot_answer, slot_release, slot_report, reader_heartbeat,
-                 table_change_received, table_changes_wanted, table_changes_unknown, instance_load, request_arrived,
-                 caller_left, connection_dropped, attempt_sent, signals_received, answer_forwarding_started,
-                 answer_progress, attempt_ended, promise_withheld, message_not_sent, message_rejected, ticked,
-                 shutdown_begun, shutdown_nears_end, shutdown_ends>;
+                 table_change_received, table_changes_wanted, table_changes_unknown, instance_load, request_announced,
+                 request_arrived, caller_left, connection_dropped, attempt_sent, signals_received,
+                 answer_forwarding_started, answer_progress, attempt_ended, promise_withheld, message_not_sent,
+                 message_rejected, ticked, shutdown_begun, shutdown_nears_end, shutdown_ends>;
 
 } // namespace lovagetack::routing
--- a/source/routing/exchanges.cpp
+++ b/source/routing/exchanges.cpp
@@ -110,7 +110,8 @@
     step.state.load_changed = true;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.expires_at - step.now);
     step.add(send_request{id, exchange.attempt, exchange.server, server.registration.address,
-                          std::max(left, std::chrono::milliseconds(1)), exchange.kind == request_kind::non_idempotent});
+                          std::max(left, std::chrono::milliseconds(1)), exchange.kind == request_kind::non_idempotent,
+                          exchange.account});
 }
 
 std::chrono::microseconds latest_answer_time(const exchange& exchange) {
--- a/source/routing/limits.hpp
+++ b/source/routing/limits.hpp
@@ -11,6 +11,9 @@
 
 // Requests.
 
+/// Shortest time between two log lines about requests without a valid key, of which a caller can send any number.
+inline constexpr std::chrono::microseconds unauthenticated_log_period = 1s;
+
 /// An answer that has started ends at its deadline, or later, once nothing of it has arrived for this long.
 inline constexpr std::chrono::microseconds answer_silence = 200ms;
 /// How long an answer that is still arriving at its deadline may go on. With the check period it stays below the half
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -3,6 +3,7 @@
 #include <type_traits>
 #include <variant>
 
+#include "routing/accounts/authentication.hpp"
 #include "routing/asking.hpp"
 #include "routing/delegation.hpp"
 #include "routing/dispatching.hpp"
@@ -181,6 +182,10 @@
     update_peer_load(step, event);
 }
 
+void on(step& step, const request_announced& event) {
+    refuse_unauthenticated(step, event);
+}
+
 void on(step& step, const request_arrived& event) {
     admit(step, event);
 }
@@ -265,10 +270,10 @@
     };
     return !is_any_of(
         std::type_identity<std::variant<
-            request_arrived, caller_left, connection_dropped, attempt_sent, signals_received, answer_forwarding_started,
-            answer_progress, attempt_ended, promise_withheld, message_not_sent, message_rejected, instance_load,
-            renewal_orders, renewal_report, reader_heartbeat, slot_request, slot_answer, slot_release, slot_report,
-            request_strike, quarantine_objection, server_probed>>());
+            request_announced, request_arrived, caller_left, connection_dropped, attempt_sent, signals_received,
+            answer_forwarding_started, answer_progress, attempt_ended, promise_withheld, message_not_sent,
+            message_rejected, instance_load, renewal_orders, renewal_report, reader_heartbeat, slot_request,
+            slot_answer, slot_release, slot_report, request_strike, quarantine_objection, server_probed>>());
 }
 
 } // namespace
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "routing/accounts/authentication.hpp"
 #include "routing/asking.hpp"
 #include "routing/exchanges.hpp"
 #include "routing/log_fields.hpp"
@@ -319,9 +320,7 @@
     const auto id = event.exchange;
     auto& exchange = state.exchanges[id];
     exchange.request = event;
-    const bool too_late =
-        state.sends_nothing_more || (state.shutting_down && step.now - state.shutdown_begun_at > admission_after_stop);
-    if (state.configuration.version == 0 || too_late) {
+    if (state.configuration.version == 0) {
         exchange.expires_at = step.now;
         answer(step, id, result_code::instance_not_ready, spread_retry_after(step));
         return;
@@ -331,6 +330,17 @@
     exchange.configuration_version = state.configuration.version;
     exchange.configuration_age = configuration_age;
     const auto* const route = find_route(state.configuration, event.host, event.path);
+    if (route != nullptr && !authenticate(step, exchange, *route)) {
+        state.exchanges.erase(id);
+        return;
+    }
+    const bool too_late =
+        state.sends_nothing_more || (state.shutting_down && step.now - state.shutdown_begun_at > admission_after_stop);
+    if (too_late) {
+        exchange.expires_at = step.now;
+        answer(step, id, result_code::instance_not_ready, spread_retry_after(step));
+        return;
+    }
     if (route == nullptr) {
         state.exchanges.erase(id);
         step.add(answer_caller{id, 404, result_code::request_service_unknown, {}});
@@ -342,7 +352,6 @@
         return;
     }
     exchange.kind = route->kind;
-    exchange.priority = route->priority;
     exchange.attempts_left = std::max(1, route->most_attempts);
     exchange.objective = route->latency_objective;
     exchange.timeout = route->timeout;
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -148,6 +148,9 @@
     std::uint64_t configuration_version = 0;
     std::chrono::milliseconds configuration_age{0};
     request_kind kind = request_kind::non_idempotent;
+    /// The client account of the request; empty for an anonymous one. Nothing if no client accounts are configured.
+    std::optional<model::client_account_id> account;
+    /// That of the client account, or of the route if the account has none.
     std::int32_t priority = 0;
     std::int32_t attempts_left = 1;
     std::chrono::milliseconds objective{0};
@@ -556,12 +559,16 @@
     /// In a large deployment, dispatchers give out the slots of backend servers.
     bool uses_dispatchers = true;
     std::uint64_t last_attempt = 0;
+    /// When refusals of requests without a valid key may be logged next, and those since the last line.
+    base::boot_time next_unauthenticated_log;
+    std::uint64_t unlogged_unauthenticated = 0;
 
     // Counters since the start, for metrics.
     std::uint64_t delivered = 0;
     std::map<base::result_code, std::uint64_t> refused;
     std::uint64_t retries = 0;
     std::uint64_t moves = 0;
+    std::uint64_t unauthenticated = 0;
     std::uint64_t stated_pauses = 0;
 };
 
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -48,7 +48,8 @@
                                              model::backend_server_id("i-1"),
                                              {"127.0.0.1", server->port()},
                                              std::chrono::milliseconds(700),
-                                             at_most_once});
+                                             at_most_once,
+                                             account});
     }
 
     attempt_outcome outcome() {
@@ -85,6 +86,8 @@
     bool sends = true;
     /// Whether the requests must not run twice.
     bool at_most_once = false;
+    /// Client account of the requests.
+    std::optional<model::client_account_id> account;
     std::vector<routing::event> events;
     /// Called with each event, after it has been noted.
     std::function<void(const routing::event&)> reaction;
@@ -110,6 +113,42 @@
     REQUIRE(test.ended()->load->slowness == 150);
 }
 
+TEST_CASE("a server gets the name of the client account, neither its key nor a name that the caller gives") {
+    fixture test;
+    const std::string shown = "Authorization: Token first\r\nLovagetack-Tenant: forged\r\n";
+    const auto account =
+        GENERATE(std::optional<std::string>(), std::optional<std::string>(""), std::optional<std::string>("north"));
+    if (account) {
+        test.account = model::client_account_id(*account);
+    }
+    test.caller->send("GET /look/1 HTTP/1.1\r\nHost: h\r\nLovagetack-Request-Id: abc\r\n" + shown + "\r\n");
+    test.server->connection(0).wait_for("\r\n\r\n");
+    const auto& request = test.server->connection(0).received();
+    const auto* const arrived = std::get_if<routing::request_arrived>(&test.events.front());
+    REQUIRE(arrived != nullptr);
+    CHECK(arrived->credential == accounts::credential_of("first"));
+    // Without client accounts the fields mean nothing and are passed on.
+    CHECK((request.find(shown) != std::string::npos) == !account.has_value());
+    CHECK((request.find("Lovagetack-Tenant: north\r\n") != std::string::npos) == (account == "north"));
+    CHECK((request.find("forged") != std::string::npos) == !account.has_value());
+}
+
+TEST_CASE("a key that is repeated, empty, too long or of another scheme is no key") {
+    fixture test;
+    test.sends = false;
+    const auto shown =
+        GENERATE(std::string("Authorization: Token first\r\nAuthorization: Token first\r\n"),
+                 std::string("Authorization: Basic first\r\n"), std::string("Authorization: Token\r\n"),
+                 std::string("Authorization: Token \r\n"), std::string("Authorization: Tokenfirst\r\n"),
+                 std::string("Authorization: Token first, Token second\r\n"), std::string("Authorization: first\r\n"),
+                 "Authorization: Token " + std::string(accounts::longest_key + 1, 'k') + "\r\n");
+    test.caller->send("GET /look/1 HTTP/1.1\r\nHost: h\r\n" + shown + "\r\n");
+    test::run_until([&test] { return !test.events.empty(); });
+    const auto* const arrived = std::get_if<routing::request_arrived>(&test.events.front());
+    REQUIRE(arrived != nullptr);
+    CHECK_FALSE(arrived->credential);
+}
+
 TEST_CASE("an answer without length is complete when the connection is closed, but not when it is reset") {
     fixture test;
     test.send_caller_request();
--- a/tests/operators_platform/decode_test.cpp
+++ b/tests/operators_platform/decode_test.cpp
@@ -83,6 +83,48 @@
     REQUIRE_FALSE(decode_configuration(R"({"version": "r8", "routes": [{"name": "a", "prefix": "/a/"}]})"));
 }
 
+namespace {
+
+const QByteArray configuration_with_accounts = R"({"version": "r9", "routes": [], "services": [],
+    "tenants": [{"name": "north", "api_keys": ["first", "second"], "priority": 1, "rate_per_s": 24.5, "burst": 30},
+                {"name": "south", "api_keys": ["third"]}]})";
+
+} // namespace
+
+TEST_CASE("client accounts are decoded, and no allowance means no limit") {
+    const auto accounts = decode_configuration(configuration_with_accounts).value().accounts;
+    const auto* const north = accounts.find(accounts::credential_of("second"));
+    REQUIRE(north != nullptr);
+    CHECK(north->name.value() == "north");
+    CHECK(north->priority == 1);
+    CHECK(north->allowance == accounts::allowance{24.5, 30});
+    const auto* const south = accounts.find(accounts::credential_of("third"));
+    REQUIRE(south != nullptr);
+    CHECK_FALSE(south->allowance.is_limited());
+    CHECK_FALSE(south->priority);
+}
+
+// Guards against keys of client accounts that travel between instances or stay in their copies of the store's rows.
+TEST_CASE("a configuration without keys decodes to the same client accounts") {
+    const auto kept = without_keys(configuration_with_accounts);
+    for (const char* const key : {"first", "second", "third", "api_keys\""}) {
+        CHECK_FALSE(kept.contains(key));
+    }
+    const auto accounts = decode_configuration(kept).value().accounts;
+    CHECK(accounts.accounts() == decode_configuration(configuration_with_accounts).value().accounts.accounts());
+    CHECK(accounts.find(accounts::credential_of("first"))->name.value() == "north");
+    CHECK(without_keys(kept) == kept);
+    CHECK(without_keys(configuration_text) == configuration_text);
+    CHECK(without_keys("{\"api_keys\"") == QByteArray("{}"));
+}
+
+TEST_CASE("a configuration in which client accounts share a key is rejected") {
+    auto shared = configuration_with_accounts;
+    shared.replace("third", "first");
+    CHECK_FALSE(decode_configuration(shared));
+    CHECK_FALSE(decode_configuration(without_keys(shared)));
+}
+
 TEST_CASE("a registration is decoded") {
     const auto server =
         decode_registration("i-1", registration(R"({"state": "ready", "seq": 4, "cold_remaining_ms": 20})"));
