tests: crowds of callers that use the memory that the limits allow

Seven tests of ctest, each against one real process with a store and a backend server on loopback, none beside another test: bodies of legal size at once, whole or in pieces, bodies in large or in one-byte chunks (all stop one byte short and stay open), bodies over the limit announced or just sent, and one body of the full legal size in calm. They check that the process lives, stays within memory_mb (VmHWM) and max_fds, answers an ordinary request while the crowd stays connected, and gives the memory back afterwards.

--- /dev/null
+++ b/tests/crowds/deployment.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "integration/process.hpp"
+#include "integration/reserved_port.hpp"
+#include "integration/temporary_folder.hpp"
+#include "soak/store.hpp"
+#include "stand_ins/http_server.hpp"
+
+namespace lovagetack::crowds {
+
+struct deployment_limits {
+    /// Memory of the machine, in MiB.
+    std::size_t memory = 96;
+    std::size_t descriptors = 512;
+    /// Most bytes of a request body.
+    std::size_t body_bytes = std::size_t(8) * 1024 * 1024;
+};
+
+/// One instance, a store and a backend server, which answers every request with 200.
+class deployment {
+public:
+    /// Returns once the instance takes connections.
+    explicit deployment(const deployment_limits& limits);
+
+    [[nodiscard]] std::uint16_t port() const { return callers_.number(); }
+    /// Status of the answer to a request with a body; 0 if there was none.
+    int ask(std::size_t body_bytes) const;
+    [[nodiscard]] bool lives() { return !instance_->status().has_value(); }
+    /// A figure of /proc/PID/status in MiB: VmRSS (now) or VmHWM (at its peak).
+    [[nodiscard]] double memory(const std::string& name) const;
+    [[nodiscard]] std::size_t open_descriptors() const;
+    /// Runs the event loop until the resident memory has not changed for a second: the kernel has taken what callers
+    /// sent before the instance has read it.
+    void wait_until_memory_rests() const;
+    /// Runs the event loop until the resident memory has fallen to this figure, in MiB; false if it does not.
+    [[nodiscard]] bool memory_falls_to(double most) const;
+
+private:
+    void write_configuration();
+
+    deployment_limits limits_;
+    harness::temporary_folder folder_;
+    harness::reserved_port callers_;
+    harness::reserved_port readiness_;
+    harness::reserved_port internal_;
+    soak::store store_;
+    stand_ins::http_server server_;
+    std::unique_ptr<harness::process> instance_;
+};
+
+} // namespace lovagetack::crowds
