memory: one account of the bytes that are held for all callers

Cause: each request body was held up to three times (a string that doubles, a copy for each attempt, a copy in the connection's buffer), and nothing bounded all bodies together, so a small crowd took a process beyond the memory of its machine, where the platform ends it.

Change: limits.memory_mb sizes a byte_account; headers, request bodies and failures that are kept take their bytes from it, the buffers of connections are measured into it. A body is held once, in parts of 64 KiB that are mapped and so return to the system, and is written to the backend server as its connection drains. An announced body that does not fit is refused at its header, one that grows beyond what is left while it arrives (503, request_memory_full), both with Retry-After and before anything was sent. An eighth is kept for small requests. While memory is scarce, bodies that arrive below 4 KiB/s or not at all for 2 s are refused (408, request_body_too_slow), the largest first, and connections on which nothing moves for 2 s are reset if the buffers of all hold more than a quarter. Without the field nothing is bounded, as before.

--- a/source/gateway/attempt.cpp
+++ b/source/gateway/attempt.cpp
@@ -55,23 +55,39 @@
 void attempt::connection_ready(const std::shared_ptr<http::client_connection>& connection) {
     connection_ = connection;
     std::string text;
-    text.reserve(exchange_.head.size() + exchange_.body.size() + 256);
+    const auto first_part = exchange_.body.part(0);
+    text.reserve(exchange_.head.size() + first_part.size() + 256);
     text.append(exchange_.head);
     if (!effect_.account) {
         text.append(exchange_.account_fields);
     }
     dialect_.append_attempt_fields(text, effect_);
     if (exchange_.has_body) {
-        http::append_field(text, "Content-Length", static_cast<std::uint64_t>(exchange_.body.size()));
+        http::append_field(text, "Content-Length", exchange_.body.size());
     }
-    text.append("\r\n").append(exchange_.body);
+    text.append("\r\n").append(first_part);
     may_have_run_before_ = std::exchange(exchange_.may_have_run, true);
     connection_->start(*this, exchange_.is_head, text);
-    connection_->end_request();
+    send_body();
     ended_event_.reused_connection = connection_->was_used_before();
     owner_.attempt_sent({effect_.exchange, effect_.attempt});
 }
 
+void attempt::send_body() {
+    if (!connection_ || next_part_ > exchange_.body.parts()) {
+        return;
+    }
+    while (next_part_ < exchange_.body.parts()) {
+        if (connection_->unsent() >= http::stream_buffer_bytes) {
+            return;
+        }
+        connection_->write(exchange_.body.part(next_part_));
+        ++next_part_;
+    }
+    ++next_part_;
+    connection_->end_request();
+}
+
 void attempt::connection_failed() {
     end(routing::attempt_outcome::not_connected);
 }
@@ -106,6 +122,11 @@
 
 void attempt::start_forwarding() {
     forwarding_ = true;
+    if (exchange_.body.parts() > 1 && next_part_ > exchange_.body.parts()) {
+        // The request cannot be repeated any more.
+        exchange_.body.release();
+        static_cast<void>(exchange_.request_charge.resize(exchange_.head.size()));
+    }
     exchange_.caller->start_answer(answer_.status, answer_.reason, answer_.lines, framing_, length_);
 }
 
@@ -114,7 +135,7 @@
     if (!forwarding_) {
         answer_.body.append(bytes);
         const bool delivers = outcome_if_complete() == routing::attempt_outcome::delivered;
-        if (!delivers && answer_.body.size() > stored_bytes_limit) {
+        if (!delivers && !keep_answer()) {
             // Bytes that are no answer may come without end.
             connection_->abort();
             end(routing::attempt_outcome::invalid_answer);
@@ -137,6 +158,11 @@
     }
 }
 
+bool attempt::keep_answer() {
+    const auto kept = exchange_.failure ? exchange_.failure->body.size() : 0;
+    return answer_.body.size() <= stored_bytes_limit && exchange_.answer_charge.resize(kept + answer_.body.size());
+}
+
 void attempt::answer_pause() {
     if (forwarding_ && exchange_.caller) {
         exchange_.caller->flush();
--- a/source/gateway/attempt.hpp
+++ b/source/gateway/attempt.hpp
@@ -7,9 +7,12 @@
 #include <vector>
 
 #include "gateway/ports.hpp"
+#include "http/body_pace.hpp"
+#include "http/byte_account.hpp"
 #include "http/client_connection.hpp"
 #include "http/connection_pool.hpp"
 #include "http/server_connection.hpp"
+#include "http/stored_body.hpp"
 #include "model/address.hpp"
 #include "routing/effect.hpp"
 #include "routing/event.hpp"
@@ -26,6 +29,9 @@
 
 /// A caller's request, from the arrival of its header until it is answered.
 struct exchange {
+    /// The account must outlive the exchange.
+    explicit exchange(http::byte_account& account) : request_charge(account), answer_charge(account) {}
+
     routing::exchange_id id = 0;
     /// Null once the answer has been written.
     std::shared_ptr<http::server_connection> caller;
@@ -35,7 +41,12 @@
     std::string head;
     /// Fields that are sent on only where no client accounts are configured.
     std::string account_fields;
-    std::string body;
+    http::stored_body body;
+    http::body_progress progress;
+    /// Bytes of the header as it is kept, and of the body as far as it is kept or announced.
+    http::byte_charge request_charge;
+    /// Bytes of `failure` and of an answer that may become it.
+    http::byte_charge answer_charge;
     bool is_head = false;
     bool has_body = false;
     /// Bytes of an attempt were written, and its server has not stated that it did not run the request.
@@ -99,7 +110,7 @@
     void answer_pause() override;
     void answer_ended() override;
     void answer_failed(http::client_connection::failure reason) override;
-    void request_writable() override {}
+    void request_writable() override { send_body(); }
 
     /// The header names another server than the one that the request was for.
     [[nodiscard]] bool is_other_server() const;
@@ -107,6 +118,10 @@
     [[nodiscard]] routing::attempt_outcome outcome_if_complete() const;
     /// Whether an answer that the request was not run may be meant for an earlier request of the connection.
     [[nodiscard]] bool may_refuse_earlier_request() const;
+    /// Writes the parts of the body that the connection can take, so that its buffer never holds the whole body.
+    void send_body();
+    /// Keeps more of an answer that is not delivered as it arrives; false if it is too long or memory is full.
+    [[nodiscard]] bool keep_answer();
     void start_forwarding();
     void end(routing::attempt_outcome outcome);
     void release();
@@ -123,6 +138,8 @@
     http::body_framing framing_ = http::body_framing::none;
     std::uint64_t length_ = 0;
     std::uint64_t body_bytes_ = 0;
+    /// First part of the request body that has not been written.
+    std::size_t next_part_ = 1;
     /// exchange_.may_have_run before this attempt.
     bool may_have_run_before_ = false;
     bool header_received_ = false;
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -60,7 +60,8 @@
                                static_cast<std::uint64_t>(base::unix_time_now().count()), settings_.processor},
              std::random_device{}()),
       relay_(
-          *adapters_.dialect, [this](const routing::event& event) { handle(event); }, caller_connections(settings_)),
+          *adapters_.dialect, [this](const routing::event& event) { handle(event); }, caller_connections(settings_),
+          http::limits_for_memory(settings_.memory)),
       load_exchange_([this](const routing::event& event) { handle(event); }),
       readiness_server_(*adapters_.dialect,
                         {[this] { return routing::is_ready(state_); }, [this] { return metrics_text(); }}),
@@ -77,7 +78,9 @@
     log_event(false, "started",
               {{"data_centre", settings_.data_centre.value()},
                {"callers", model::to_text(settings_.callers)},
-               {"incarnation", std::to_string(state_.self.incarnation)}});
+               {"incarnation", std::to_string(state_.self.incarnation)},
+               {"caller_bytes", settings_.memory > 0 ? std::to_string(relay_.account().limits().total) : "unbounded"},
+               {"caller_connections", std::to_string(caller_connections(settings_))}});
     if (settings_.metrics_port != 0) {
         BOOST_OUTCOME_TRYV(metrics_server_.listen({settings_.callers.host, settings_.metrics_port}));
     }
@@ -114,6 +117,12 @@
     if (limits_version_ != state_.configuration.version) {
         limits_version_ = state_.configuration.version;
         relay_.set_limits(state_.configuration.limits);
+        const auto& memory = relay_.account().limits();
+        if (state_.configuration.limits.body_bytes > memory.total - memory.reserve) {
+            log_event(true, "largest_body_exceeds_memory",
+                      {{"body_bytes", std::to_string(state_.configuration.limits.body_bytes)},
+                       {"caller_bytes", std::to_string(memory.total - memory.reserve)}});
+        }
     }
     if (was_ready_ != routing::is_ready(state_)) {
         was_ready_ = !was_ready_;
@@ -128,6 +137,7 @@
         last_check_at_ = now;
         relay_.check_times();
         grants_->check_times();
+        log_memory_refusals(now);
     }
     if (now - last_summary_at_ >= summary_period) {
         last_summary_at_ = now;
@@ -223,6 +233,15 @@
                    static_cast<std::uint64_t>(effect.attempts));
 }
 
+void gateway::log_memory_refusals(base::boot_time now) {
+    for (const auto& line : memory_log_.due(relay_.memory(), now)) {
+        log_event(true, "memory_refusals",
+                  {{"cause", std::string(line.cause)},
+                   {"count", std::to_string(line.count)},
+                   {"held_bytes", std::to_string(relay_.account().held())}});
+    }
+}
+
 void gateway::log_request_summary() {
     std::uint64_t refused = 0;
     for (const auto& [code, count] : state_.refused) {
@@ -261,6 +280,10 @@
     gauge("lovagetack_ranges_moved_total", {}, state_.moves);
     gauge("lovagetack_requests_open", {}, state_.exchanges.size());
     gauge("lovagetack_caller_connections", {}, relay_.caller_connections());
+    gauge("lovagetack_caller_bytes", {}, relay_.account().held());
+    for (const auto& [cause, member] : memory_causes) {
+        gauge("lovagetack_memory_refusals_total", {{"cause", std::string(cause)}}, relay_.memory().*member);
+    }
     gauge("lovagetack_configuration_version", {}, state_.configuration.version);
     if (state_.configuration.version > 0) {
         const auto age = base::boot_clock::now() - state_.configuration_since;
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 
 #include "base/result.hpp"
 #include "gateway/load_exchange.hpp"
+#include "gateway/memory_log.hpp"
 #include "gateway/operators_server.hpp"
 #include "gateway/ports.hpp"
 #include "gateway/relay.hpp"
@@ -87,6 +88,7 @@
     void continue_shutdown();
     void log_event(bool warning, const std::string& name, std::vector<model::timeline_field> fields);
     void log_request_summary();
+    void log_memory_refusals(base::boot_time now);
     [[nodiscard]] std::string metrics_text();
 
     settings settings_;
@@ -98,6 +100,7 @@
     operators_server readiness_server_;
     operators_server metrics_server_;
     telemetry::metrics metrics_;
+    memory_log memory_log_;
     std::unique_ptr<store_port> store_;
     std::unique_ptr<grant_port> grants_;
     std::deque<routing::event> events_;
--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -1,5 +1,7 @@
 #include "gateway/relay.hpp"
 
+#include <algorithm>
+
 #include "base/key_hash.hpp"
 #include "http/error_body.hpp"
 
@@ -14,6 +16,26 @@
 constexpr int not_run_status = 503;
 /// HTTP status 502, which promises nothing.
 constexpr int unknown_outcome_status = 502;
+/// HTTP status 408, which promises the same as 503.
+constexpr int too_slow_status = 408;
+
+/// A caller whose request did not fit may try again after this time; slow bodies are refused sooner.
+constexpr auto memory_retry_time = std::chrono::milliseconds(2000);
+/// Objects and fields that an exchange holds besides its header and body.
+constexpr std::uint64_t exchange_bytes = 2048;
+/// Objects of a caller's connection, with the buffers that it keeps while it is idle.
+constexpr std::uint64_t connection_bytes = 8192;
+/// A body without a declared length is charged in steps of this size.
+constexpr std::uint64_t charge_step = 16384;
+/// One part in this many of the account can be in the buffers of connections on which nothing moves.
+constexpr std::uint64_t buffer_part = 4;
+/// Longest time between two checks after which this process counts as not held up.
+constexpr auto regular_check_time = std::chrono::milliseconds(500);
+
+/// Bytes of the request besides its body.
+std::uint64_t header_charge(const exchange& item) {
+    return exchange_bytes + 2 * (item.head.size() + item.account_fields.size());
+}
 
 http::server_limits server_limits(std::size_t connections) {
     http::server_limits limits;
@@ -25,17 +47,20 @@
 routing::request_fingerprint fingerprint_of(const http::server_connection& caller, const exchange& item) {
     const auto method = caller.message().method_string();
     auto hash = base::key_hash({method.data(), method.size()});
-    for (const std::string_view part :
-         {std::string_view(item.header.host), std::string_view(item.header.path), std::string_view(item.body)}) {
-        hash = base::chained_hash(hash, part);
+    hash = base::chained_hash(hash, item.header.host);
+    hash = base::chained_hash(hash, item.header.path);
+    for (std::size_t number = 0; number < item.body.parts(); ++number) {
+        hash = base::chained_hash(hash, item.body.part(number));
     }
     return base::chained_hash(hash, item.header.key ? std::to_string(*item.header.key) : "");
 }
 
 } // namespace
 
-relay::relay(const dialect_port& dialect, event_handler on_event, std::size_t caller_connections)
-    : dialect_(dialect), on_event_(std::move(on_event)), server_(*this, server_limits(caller_connections)) {}
+relay::relay(const dialect_port& dialect, event_handler on_event, std::size_t caller_connections,
+             const http::byte_limits& memory)
+    : dialect_(dialect), on_event_(std::move(on_event)), account_(memory),
+      server_(*this, server_limits(caller_connections)) {}
 
 relay::~relay() {
     probes_.clear();
@@ -75,7 +100,7 @@
 }
 
 void relay::request_started(http::server_connection& connection) {
-    auto item = std::make_unique<exchange>();
+    auto item = std::make_unique<exchange>(account_);
     item->id = ++last_exchange_id_;
     item->caller = connection.shared_from_this();
     item->header = dialect_.read(connection.message());
@@ -86,6 +111,16 @@
     item->has_body = connection.request_framing() != http::body_framing::none;
     connection.limit_body(limits_.body_bytes);
     connection.set_tag(item->id);
+    const auto now = http::server_connection::clock::now();
+    item->progress = {now, now, 0};
+    const auto length = connection.request_length();
+    item->body.expect(length);
+    if (!charge(*item, header_charge(*item) + length)) {
+        ++memory_.refused_at_header;
+        refuse(*exchanges_.emplace(item->id, std::move(item)).first->second, not_run_status,
+               base::result_code::request_memory_full);
+        return;
+    }
     const routing::request_announced event{item->id, item->header.host, item->header.path, item->header.credential};
     const bool has_body = item->has_body;
     exchanges_.emplace(event.exchange, std::move(item));
@@ -96,9 +131,78 @@
 }
 
 void relay::request_body(http::server_connection& connection, std::string_view bytes) {
-    if (auto* const item = find(connection.tag())) {
-        item->body.append(bytes);
+    auto* const item = find(connection.tag());
+    if (item == nullptr) {
+        return;
+    }
+    item->progress.last_received = http::server_connection::clock::now();
+    item->progress.bytes += bytes.size();
+    const auto kept = (item->progress.bytes + charge_step - 1) / charge_step * charge_step;
+    const bool was_charged = connection.request_framing() == http::body_framing::length;
+    if ((was_charged || charge(*item, header_charge(*item) + kept)) && item->body.append(bytes)) {
+        return;
+    }
+    ++memory_.refused_in_body;
+    refuse(*item, not_run_status, base::result_code::request_memory_full);
+}
+
+bool relay::charge(exchange& item, std::uint64_t bytes) {
+    if (item.request_charge.bytes() == bytes || item.request_charge.resize(bytes)) {
+        return true;
+    }
+    bool fits = false;
+    refuse_slow_bodies(&item, [&] { return fits = item.request_charge.resize(bytes); });
+    return fits;
+}
+
+void relay::refuse_slow_bodies(const exchange* except, const std::function<bool()>& enough) {
+    const auto now = http::server_connection::clock::now();
+    if (now - checked_at_ > regular_check_time) {
+        return;
+    }
+    std::vector<std::pair<std::uint64_t, routing::exchange_id>> slow;
+    for (const auto& [id, item] : exchanges_) {
+        const bool receives_body = item->caller && !item->caller->request_complete();
+        if (receives_body && item.get() != except && http::is_slow(item->progress, now)) {
+            slow.emplace_back(item->request_charge.bytes(), id);
+        }
+    }
+    std::sort(slow.rbegin(), slow.rend());
+    for (const auto& [bytes, id] : slow) {
+        if (enough()) {
+            return;
+        }
+        // The events of a refusal can end other exchanges.
+        if (auto* const item = find(id)) {
+            ++memory_.refused_slow;
+            refuse(*item, too_slow_status, base::result_code::request_body_too_slow);
+        }
+    }
+    static_cast<void>(enough());
+}
+
+void relay::refuse(exchange& item, int status, base::result_code code) {
+    const auto id = item.id;
+    const auto caller = std::exchange(item.caller, nullptr);
+    caller->set_tag(0);
+    const auto retry_after = status == not_run_status ? memory_retry_time : std::chrono::milliseconds(0);
+    caller->answer_error(status, code, base::name_of(code),
+                         dialect_.local_answer_fields(item.header.request, status, retry_after));
+    erase(id);
+    on_event_(routing::caller_left{id, std::string(base::name_of(code))});
+}
+
+void relay::relieve_memory() {
+    const auto connections = server_.connections() * connection_bytes;
+    const auto most = account_.limits().total / buffer_part;
+    if (server_.buffered() > most) {
+        memory_.connections_shed += server_.shed(most, http::pace_time);
+    }
+    account_.set_buffered(server_.buffered() + connections);
+    if (account_.is_scarce()) {
+        refuse_slow_bodies(nullptr, [this] { return !account_.is_scarce(); });
     }
+    checked_at_ = http::server_connection::clock::now();
 }
 
 void relay::request_body_ended(http::server_connection& connection) {
@@ -249,6 +353,7 @@
 }
 
 void relay::check_times() {
+    relieve_memory();
     const auto now = http::client_connection::clock::now();
     for (auto at = pools_.begin(); at != pools_.end();) {
         at->second->check_times(now);
--- a/source/gateway/settings.hpp
+++ b/source/gateway/settings.hpp
@@ -22,6 +22,8 @@
     std::uint32_t processor = 0;
     /// File descriptors that the process may have open.
     std::uint32_t descriptors = 1024;
+    /// Memory of the machine, in bytes; 0 if unknown.
+    std::uint64_t memory = 0;
     /// Additional port for metrics, which `readiness` serves as well; 0 for none.
     std::uint16_t metrics_port = 0;
     /// First of the ports that the deployment may use for itself; instances exchange their load on it.
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -17,7 +17,6 @@
 constexpr int backlog = 1024;
 /// Connections above the limit that may be open at once to receive the error answer; further ones are reset.
 constexpr std::size_t maximum_refused_connections = 64;
-constexpr auto check_period = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -92,11 +91,36 @@
     connections.reserve(connections_.size());
     std::transform(connections_.begin(), connections_.end(), std::back_inserter(connections),
                    [](const auto& entry) { return entry.second; });
+    buffered_ = 0;
     for (const auto& connection : connections) {
         connection->check_time(now);
+        buffered_ += connection->buffered();
     }
 }
 
+std::size_t server::shed(std::uint64_t bytes, std::chrono::milliseconds stalled) {
+    const auto now = server_connection::clock::now();
+    std::vector<std::shared_ptr<server_connection>> candidates;
+    for (const auto& [pointer, connection] : connections_) {
+        const bool receives_body = connection->request_open() && !connection->request_complete();
+        if (!receives_body && connection->buffered() > 0 && now - connection->last_progress() >= stalled) {
+            candidates.push_back(connection);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const auto& left, const auto& right) { return left->buffered() > right->buffered(); });
+    std::size_t count = 0;
+    for (const auto& connection : candidates) {
+        if (buffered_ <= bytes) {
+            break;
+        }
+        buffered_ -= std::min<std::uint64_t>(buffered_, connection->buffered());
+        connection->shed("memory_full");
+        ++count;
+    }
+    return count;
+}
+
 void server::set_limits(std::uint64_t body_bytes, std::chrono::milliseconds header_time,
                         std::chrono::milliseconds idle_time) {
     limits_.body_bytes = body_bytes;
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -31,6 +31,12 @@
     [[nodiscard]] std::uint16_t port() const;
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
+    /// Bytes that this process holds for all connections together, as measured at most check_period ago.
+    [[nodiscard]] std::uint64_t buffered() const { return buffered_; }
+    /// Resets connections on which nothing has moved for `stalled`, those that hold most first, until the others hold
+    /// at most `bytes`. Connections that receive a request body are left out. Returns how many were reset.
+    std::size_t shed(std::uint64_t bytes, std::chrono::milliseconds stalled);
+
     /// Applies to open connections too; a shorter idle time only after the next answer on them.
     void set_limits(std::uint64_t body_bytes, std::chrono::milliseconds header_time,
                     std::chrono::milliseconds idle_time);
@@ -42,6 +48,8 @@
     /// end, then calls the function from the event loop.
     void stop(std::function<void()> stopped);
 
+    static constexpr auto check_period = std::chrono::milliseconds(100);
+
 private:
     void accept_backlog();
     void accept_pending_connections();
@@ -54,6 +62,7 @@
     QTimer timer_;
     std::unordered_map<server_connection*, std::shared_ptr<server_connection>> connections_;
     std::function<void()> stopped_;
+    std::uint64_t buffered_ = 0;
     bool accepting_paused_ = false;
     bool stopping_ = false;
     bool closing_ = false;
--- a/source/http/server_connection.cpp
+++ b/source/http/server_connection.cpp
@@ -11,6 +11,9 @@
 /// Bytes that a caller may still send after its last answer before the connection is reset.
 constexpr std::size_t linger_bytes = std::size_t(4) * 1024 * 1024;
 
+/// Bytes that are read ahead while no body is received: most headers fit, and pipelined requests stay in the kernel.
+constexpr std::size_t header_buffer_bytes = std::size_t(8) * 1024;
+
 /// The time that callers are told is two thirds of the idle time: they count from a later moment than this end, and
 /// their next request needs time to arrive.
 constexpr std::chrono::seconds stated_idle_time(std::chrono::milliseconds idle_time) {
@@ -25,7 +28,9 @@
 server_connection::server_connection(QTcpSocket* socket, handler& requests, const server_limits& limits,
                                      std::function<void(server_connection&)> on_closed)
     : handler_(requests), limits_(limits), on_closed_(std::move(on_closed)), promised_idle_time_(limits.idle_time),
-      stream_(socket, *this) {}
+      stream_(socket, *this) {
+    stream_.set_read_buffer(header_buffer_bytes);
+}
 
 void server_connection::stream_readable() {
     process();
@@ -168,6 +173,9 @@
     request_complete_ = reader_.complete();
     last_progress_ = clock::now();
     phase_ = request_complete_ ? phase::answering : phase::body;
+    if (!request_complete_) {
+        stream_.set_read_buffer(stream_buffer_bytes);
+    }
     handler_.request_started(*this);
     if (request_complete_ && request_open()) {
         handler_.request_body_ended(*this);
@@ -208,6 +216,7 @@
     request_complete_ = true;
     last_progress_ = clock::now();
     phase_ = phase::answering;
+    stream_.set_read_buffer(header_buffer_bytes);
     handler_.request_body_ended(*this);
 }
 
@@ -376,6 +385,11 @@
     on_closed_(*this);
 }
 
+void server_connection::shed(std::string cause) {
+    const auto self = shared_from_this();
+    end_connection(std::move(cause));
+}
+
 void server_connection::close() {
     const auto self = shared_from_this();
     if (phase_ == phase::closed) {
--- a/source/http/server_connection.hpp
+++ b/source/http/server_connection.hpp
@@ -62,6 +62,8 @@
     [[nodiscard]] std::uint64_t request_length() const { return declared_length_; }
     [[nodiscard]] bool request_complete() const { return request_complete_; }
 
+    /// A request has begun and its answer has not ended.
+    [[nodiscard]] bool request_open() const;
     /// Number of the open request; set and read by the handler only.
     void set_tag(std::uint64_t tag) { tag_ = tag; }
     [[nodiscard]] std::uint64_t tag() const { return tag_; }
@@ -88,6 +90,13 @@
     /// Bytes of the answer that have not been passed to the kernel yet.
     [[nodiscard]] std::size_t unsent() const { return output_.size() + stream_.unsent(); }
 
+    /// Bytes that this process holds for the connection, without those that the handler keeps.
+    [[nodiscard]] std::size_t buffered() const { return output_.size() + stream_.buffered(); }
+    /// Last time at which bytes of a request came or bytes of an answer left.
+    [[nodiscard]] clock::time_point last_progress() const { return last_progress_; }
+    /// Resets the connection; the caller of an open request counts as having left.
+    void shed(std::string cause);
+
     /// Resets the connection at once; the handler is not called afterwards.
     void abort();
     /// The same, but a complete answer that was passed to the kernel is still sent.
@@ -126,7 +135,6 @@
     /// that the caller knows that it has not run.
     void close_unread();
     void end_connection(std::string cause);
-    [[nodiscard]] bool request_open() const;
     /// How long the connection stays open between two requests.
     [[nodiscard]] std::chrono::milliseconds longest_wait() const;
 
--- a/source/http/socket_stream.cpp
+++ b/source/http/socket_stream.cpp
@@ -164,6 +164,14 @@
     return closed_ ? 0 : static_cast<std::size_t>(socket_->bytesToWrite());
 }
 
+std::size_t socket_stream::buffered() const {
+    return input_.size() + static_cast<std::size_t>(socket_->bytesAvailable()) + unsent();
+}
+
+void socket_stream::set_read_buffer(std::size_t bytes) {
+    socket_->setReadBufferSize(static_cast<qint64>(bytes));
+}
+
 void socket_stream::post(std::function<void()> function) {
     context_.post(std::move(function));
 }
--- a/source/http/socket_stream.hpp
+++ b/source/http/socket_stream.hpp
@@ -69,6 +69,10 @@
     void write(std::string_view bytes);
     /// Bytes written that have not been passed to the kernel yet.
     [[nodiscard]] std::size_t unsent() const;
+    /// Bytes that this process holds for the connection, received and not fetched or not parsed, or not sent.
+    [[nodiscard]] std::size_t buffered() const;
+    /// Most bytes that are read from the kernel before they are fetched.
+    void set_read_buffer(std::size_t bytes);
     /// Bytes passed to the kernel since the connection was opened.
     [[nodiscard]] std::uint64_t sent() const { return written_ - unsent(); }
 
