--- a/tests/operators_platform/decode_test.cpp
+++ b/tests/operators_platform/decode_test.cpp
@@ -39,6 +39,7 @@
     REQUIRE(settings.value().store == model::address{"10.200.1.7", 8541});
     REQUIRE(settings.value().first_internal_port == 7540);
     REQUIRE(settings.value().grace == std::chrono::seconds(6));
+    REQUIRE(settings.value().memory == 260UL * 1024 * 1024);
 }
 
 TEST_CASE("an error in the settings names the file, the field and the expected value") {
@@ -50,6 +51,15 @@
     REQUIRE_FALSE(decode_settings("local.json", "[]"));
 }
 
+TEST_CASE("a memory of the machine that is no size is an error, and a missing one is unknown") {
+    auto text = settings_text;
+    REQUIRE_FALSE(decode_settings("local.json", text.replace("\"memory_mb\": 260", "\"memory_mb\": -1")));
+    REQUIRE_FALSE(decode_settings("local.json", text.replace("\"memory_mb\": -1", "\"memory_mb\": \"much\"")));
+    const auto settings = decode_settings("local.json", text.replace("\"memory_mb\": \"much\", ", ""));
+    REQUIRE(settings);
+    REQUIRE(settings.value().memory == 0);
+}
+
 TEST_CASE("a configuration is decoded") {
     const auto decoded = decode_configuration(configuration_text);
     REQUIRE(decoded);
