http: an answer whose status is none is no answer

Cause: client_connection took every status below 200 but 101 for an interim answer and waited for the next one, so a caller whose server answered 000 waited for its deadline, and it passed 600 to 999 on.

Change: a status below 100 or above 599 is malformed, as signs and two or four digits were before; the connection ends and the outcome is unknown. At most 16 interim answers to one request are skipped. A header that ends early was no answer before either.

--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -6,6 +6,15 @@
 #include "http/header_rules.hpp"
 
 namespace lovagetack::http {
+namespace {
+
+/// Statuses outside this range are none (RFC 9110, 15).
+constexpr unsigned least_status = 100;
+constexpr unsigned most_status = 599;
+/// Most interim answers (1xx) to one request; servers send one or two.
+constexpr int most_interim_answers = 16;
+
+} // namespace
 
 client_connection::client_connection(const model::address& address, owner callbacks)
     : owner_(std::move(callbacks)), stream_(new QTcpSocket, *this) {
@@ -45,6 +54,7 @@
     is_head_ = is_head;
     request_written_ = false;
     paused_ = false;
+    interim_answers_ = 0;
     ++requests_;
     reader_.reset(is_head_);
     phase_ = phase::header;
@@ -123,12 +133,16 @@
         return false;
     }
     const auto status = reader_.message().result_int();
-    if (status == 101) {
-        // No upgrade was requested.
+    // No upgrade was requested, so 101 is no answer either.
+    if (status < least_status || status > most_status || status == 101) {
         fail(failure::malformed);
         return false;
     }
     if (status < 200) {
+        if (++interim_answers_ > most_interim_answers) {
+            fail(failure::malformed);
+            return false;
+        }
         reader_.reset(is_head_);
         return true;
     }
--- a/source/http/client_connection.hpp
+++ b/source/http/client_connection.hpp
@@ -27,7 +27,7 @@
         connection_lost = 0,
         /// The connection ended after the header of the answer and before its end.
         cut_short = 1,
-        /// The answer was not valid HTTP.
+        /// The answer was not valid HTTP, its status is none, or too many interim answers came before it.
         malformed = 2,
     };
 
@@ -116,6 +116,7 @@
     clock::time_point state_since_ = clock::now();
     std::uint64_t requests_ = 0;
     phase phase_ = phase::opening;
+    int interim_answers_ = 0;
     bool is_head_ = false;
     bool request_written_ = false;
     bool paused_ = false;
--- a/tests/crowds/crowds_test.cpp
+++ b/tests/crowds/crowds_test.cpp
@@ -2,6 +2,9 @@
 
 #include <optional>
 
+#include <QTcpServer>
+#include <QTcpSocket>
+
 #include "crowds/crowd.hpp"
 #include "crowds/deployment.hpp"
 
@@ -96,4 +99,25 @@
     CHECK(system.memory("VmHWM") < static_cast<double>(limits.memory));
 }
 
+// Guards against a caller that gets a status which is none, or waits for its deadline because of one.
+TEST_CASE("a backend server that answers with a status that is none", "[odd_status]") {
+    const auto status = GENERATE("000", "099", "600", "999");
+    INFO(status);
+    QTcpServer server;
+    REQUIRE(server.listen(QHostAddress::LocalHost));
+    QObject::connect(&server, &QTcpServer::newConnection, &server, [&] {
+        auto* const socket = server.nextPendingConnection();
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket, status] {
+            if (socket->readAll().contains("POST /orders/")) {
+                socket->write(QByteArray("HTTP/1.1 ") + status +
+                              " Odd\r\nLovagetack-Request-Id: ordinary\r\n"
+                              "Lovagetack-Response-Signature: s\r\nContent-Length: 0\r\n\r\n");
+            }
+        });
+    });
+    deployment system({}, server.serverPort());
+    CHECK(system.ask(small_body) == 502);
+    CHECK(system.lives());
+}
+
 } // namespace lovagetack::crowds
--- a/tests/crowds/deployment.cpp
+++ b/tests/crowds/deployment.cpp
@@ -44,9 +44,10 @@
 
 } // namespace
 
-deployment::deployment(const deployment_limits& limits) : limits_(limits), store_(1), server_(answer) {
+deployment::deployment(const deployment_limits& limits, std::uint16_t server_port)
+    : limits_(limits), store_(1), server_(answer) {
     const auto store_address = checked(store_.listen());
-    write_configuration();
+    write_configuration(server_port);
     const auto text = [](const std::string& value) { return QString::fromStdString(value); };
     const QJsonObject settings{
         {"node", "front-1"},
@@ -71,7 +72,7 @@
         "the instance to be ready");
 }
 
-void deployment::write_configuration() {
+void deployment::write_configuration(std::uint16_t server_port) {
     const QJsonObject route{{"name", "orders"},     {"host", "h"},         {"prefix", "/orders/"},
                             {"route_type", "safe"}, {"timeout_ms", 20000}, {"target_latency_ms", 10000},
                             {"priority", 1},        {"max_attempts", 2},   {"service", "orders"}};
@@ -86,7 +87,8 @@
                 {"routes", QJsonArray{route}},
                 {"services", QJsonArray{service}},
                 {"limits", caller_limits}});
-    const auto address = checked(server_.listen({"127.0.0.1", 0}));
+    auto address = checked(server_.listen({"127.0.0.1", 0}));
+    address.port = server_port == 0 ? address.port : server_port;
     store_.put("servers", "server-1",
                {{"address", QString::fromStdString(model::to_text(address))},
                 {"born", static_cast<qint64>(base::unix_time_now().count())},
--- a/tests/crowds/deployment.hpp
+++ b/tests/crowds/deployment.hpp
@@ -24,8 +24,9 @@
 /// One instance, a store and a backend server, which answers every request with 200.
 class deployment {
 public:
-    /// Returns once the instance takes connections.
-    explicit deployment(const deployment_limits& limits);
+    /// Returns once the instance takes connections. Requests go to a server of the test's own at `server_port`, if
+    /// given.
+    explicit deployment(const deployment_limits& limits, std::uint16_t server_port = 0);
 
     [[nodiscard]] std::uint16_t port() const { return callers_.number(); }
     /// Status of the answer to a request with a body; 0 if there was none.
@@ -41,7 +42,7 @@
     [[nodiscard]] bool memory_falls_to(double most) const;
 
 private:
-    void write_configuration();
+    void write_configuration(std::uint16_t server_port);
 
     deployment_limits limits_;
     harness::temporary_folder folder_;
