memory: slow bodies are refused only where room is needed

Cause: memory counted as scarce from half of the account on, so on a machine of 160 MiB a single body of the full legal size that paused for 2 s would have been refused in calm.

The whole of test_gateway was not run again on this commit.

--- a/source/http/byte_account.hpp
+++ b/source/http/byte_account.hpp
@@ -28,8 +28,8 @@
     [[nodiscard]] const byte_limits& limits() const { return limits_; }
     /// Bytes in the buffers of connections, which are measured from time to time rather than taken.
     void set_buffered(std::uint64_t bytes) { buffered_ = bytes; }
-    /// Half of what large holders can take is held, so that holders have to make progress.
-    [[nodiscard]] bool is_scarce() const { return held() > (limits_.total - limits_.reserve) / 2; }
+    /// Only the reserve is left, so that holders have to make progress.
+    [[nodiscard]] bool is_scarce() const { return held() > limits_.total - limits_.reserve; }
 
     /// Largest charge that counts as small: a body of 64 KiB and its header.
     static constexpr std::uint64_t small_bytes = std::uint64_t(96) * 1024;
