accounts: allowances are counted by tokens of named instances

Change: each allowance has a slice for each data centre and each account a group. The keeper names an instance for each slice and group in the row of its lease; it issues tokens from a bucket for each account, under permits that run out. Instances ask for a token before they place a request of a limited account, and answer 429 with the time of the next token, or 503 if no counter answers.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -57,7 +57,8 @@
     : settings_(std::move(values)), adapters_(std::move(adapters)),
       log_(settings_.instance.value(), telemetry::log_level::info, ""),
       state_(routing::identity{settings_.instance, settings_.data_centre,
-                               static_cast<std::uint64_t>(base::unix_time_now().count()), settings_.processor},
+                               static_cast<std::uint64_t>(base::unix_time_now().count()), settings_.processor,
+                               settings_.data_centres},
              std::random_device{}()),
       relay_(
           *adapters_.dialect, [this](const routing::event& event) { handle(event); }, caller_connections(settings_)),
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -67,6 +67,7 @@
     void execute(const routing::send_slot_answer& effect) { load_exchange_.send(effect, state_.instances); }
     void execute(const routing::send_slot_release& effect) { load_exchange_.send(effect, state_.instances); }
     void execute(const routing::send_slot_report& effect) { load_exchange_.send(effect, state_.instances); }
+    void execute(const routing::send_allowance_message& effect) { load_exchange_.send(effect, state_.instances); }
     void execute(const routing::send_table_change& effect) {
         load_exchange_.send(effect, state_.self.instance, state_.instances);
     }
--- a/source/gateway/load_exchange.cpp
+++ b/source/gateway/load_exchange.cpp
@@ -7,6 +7,7 @@
 #include <QHostAddress>
 #include <QNetworkDatagram>
 
+#include "gateway/allowance_messages.hpp"
 #include "wire/peer.pb.h"
 
 namespace lovagetack::gateway {
@@ -348,6 +349,10 @@
     send(encode(effect.objection), effect.receiver, instances);
 }
 
+void load_exchange::send(const routing::send_allowance_message& effect, const instance_records& instances) {
+    send(encode(effect.message), effect.receivers, instances);
+}
+
 void load_exchange::send(const routing::send_change& effect, const model::instance_id& sender,
                          const instance_records& instances) {
     const auto bytes = encode(effect.change);
@@ -619,6 +624,12 @@
     return envelope.SerializeAsString();
 }
 
+std::string load_exchange::encode(const routing::allowance_message& message) {
+    wire::GatewayMessage envelope;
+    std::visit([&envelope](const auto& body) { write(body, envelope); }, message);
+    return envelope.SerializeAsString();
+}
+
 base::result<routing::event> load_exchange::decode(const QByteArray& bytes) {
     wire::GatewayMessage message;
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
@@ -671,6 +682,11 @@
     case wire::GatewayMessage::kObjection:
         return routing::event(routing::quarantine_objection{message.objection().request(),
                                                             std::chrono::milliseconds(message.objection().age_ms())});
+    case wire::GatewayMessage::kCounterRoles:
+    case wire::GatewayMessage::kCounterReport:
+    case wire::GatewayMessage::kTokenRequest:
+    case wire::GatewayMessage::kTokenAnswer:
+        return routing::event(routing::allowance_message_received{read_allowance_message(message)});
     case wire::GatewayMessage::BODY_NOT_SET:
         break;
     }
--- a/source/gateway/load_exchange.hpp
+++ b/source/gateway/load_exchange.hpp
@@ -46,6 +46,7 @@
     void send(const routing::send_slot_report& effect, const instance_records& instances);
     void send(const routing::send_strike& effect, const instance_records& instances);
     void send(const routing::send_objection& effect, const instance_records& instances);
+    void send(const routing::send_allowance_message& effect, const instance_records& instances);
     void send(const routing::send_table_change& effect, const model::instance_id& sender,
               const instance_records& instances);
     void send(const routing::request_table_changes& effect, const instance_records& instances);
@@ -68,6 +69,7 @@
     [[nodiscard]] static std::string encode(const routing::table_changes_unknown& message);
     [[nodiscard]] static std::string encode(const routing::request_strike& strike);
     [[nodiscard]] static std::string encode(const routing::quarantine_objection& objection);
+    [[nodiscard]] static std::string encode(const routing::allowance_message& message);
     /// Returns the event of one of the encoded kinds. Fails with peer_message_malformed.
     [[nodiscard]] static base::result<routing::event> decode(const QByteArray& bytes);
 
--- a/source/gateway/relay.cpp
+++ b/source/gateway/relay.cpp
@@ -12,6 +12,8 @@
 
 /// HTTP status 503, which promises the caller that its request has not run and will not run.
 constexpr int not_run_status = 503;
+/// Also a promise that the request has not run.
+constexpr int over_allowance_status = 429;
 /// HTTP status 502, which promises nothing.
 constexpr int unknown_outcome_status = 502;
 
@@ -238,7 +240,7 @@
     }
     auto status = effect.status;
     auto retry_after = effect.retry_after;
-    if (status == not_run_status && item->may_have_run) {
+    if ((status == not_run_status || status == over_allowance_status) && item->may_have_run) {
         on_event_(routing::promise_withheld{item->header.request, effect.code});
         status = unknown_outcome_status;
         retry_after = std::chrono::milliseconds(0);
--- a/source/gateway/settings.hpp
+++ b/source/gateway/settings.hpp
@@ -20,6 +20,8 @@
     model::address store;
     /// Processor time that the process may use, in thousandths of a core; 0 if unknown.
     std::uint32_t processor = 0;
+    /// Number of the deployment's data centres; 0 if unknown.
+    std::uint32_t data_centres = 0;
     /// File descriptors that the process may have open.
     std::uint32_t descriptors = 1024;
     /// Additional port for metrics, which `readiness` serves as well; 0 for none.
--- /dev/null
+++ b/source/routing/accounts/allowances.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "routing/step.hpp"
+
+namespace lovagetack::routing {
+
+// Requests of a client account with an allowance need a token each. An instance asks the counters of the account's
+// slices for tokens, that of its own data centre first.
+
+/// Whether the request waits for a token, or has been refused for lack of one. It may be placed if it does not.
+[[nodiscard]] bool waits_for_allowance(step& step, exchange_id id);
+
+void end_token_request(step& step, const token_answer& event);
+
+/// Passes over silent counters and refuses requests that have waited too long.
+void run_allowances(step& step);
+
+} // namespace lovagetack::routing
--- a/source/routing/assignment.hpp
+++ b/source/routing/assignment.hpp
@@ -8,6 +8,7 @@
 #include "base/fields.hpp"
 #include "model/address.hpp"
 #include "model/ids.hpp"
+#include "routing/accounts/counter_role.hpp"
 
 namespace lovagetack::routing {
 
@@ -63,6 +64,9 @@
     std::int64_t unrecorded_grants_until = 0;
     /// Other instances renew grants on the holder's orders, for up to renewer_permit after its end.
     bool delegates = false;
+    /// Who may count the allowances of client accounts. Not among the fields below: lease_text adds it if it is not
+    /// empty, so that the rows of deployments without limited accounts stay as they are.
+    std::vector<counter_role> counters;
 };
 
 /// One instance of the deployment; a row of the store.
@@ -78,12 +82,14 @@
 };
 
 /// The protocol version of this build, and the first ones whose instances follow orders of a keeper, pass changes of
-/// the store's tables on, give out slots, and count strikes.
-inline constexpr std::uint32_t own_protocol = 2;
+/// the store's tables on, give out slots, count strikes, and count
+/// the allowances of client accounts.
+inline constexpr std::uint32_t own_protocol = 3;
 inline constexpr std::uint32_t renewer_protocol = 1;
 inline constexpr std::uint32_t reader_protocol = 1;
 inline constexpr std::uint32_t dispatcher_protocol = 1;
 inline constexpr std::uint32_t quarantine_protocol = 2;
+inline constexpr std::uint32_t counter_protocol = 3;
 
 /// The range of a key; null only if the assignment has no ranges.
 [[nodiscard]] const key_range* find_range(const assignment& assignment, std::uint32_t key);
--- a/source/routing/duty.cpp
+++ b/source/routing/duty.cpp
@@ -42,6 +42,7 @@
     lease.renewals_until = std::max(lease.until + renewal_extension.count(), lease.earlier_renewals_until);
     lease.unrecorded_grants_until = store_time_of(keeper, keeper.moves_from, step.now);
     lease.delegates = step.state.instances.size() > small_deployment || !keeper.delegates.empty();
+    lease.counters = keeper.counters.wanted;
     return lease;
 }
 
@@ -238,6 +239,7 @@
         rows.lease.renewals_until =
             std::max(rows.lease.renewals_until, latest_store_time(keeper, step.now) + renewer_permit.count());
     }
+    rows.lease.counters = keeper.counters.wanted;
     step.add(std::move(rows));
     step_down(step, "shutdown");
     keeper.next_check = base::boot_time::max();
--- a/source/routing/effect.hpp
+++ b/source/routing/effect.hpp
@@ -11,6 +11,7 @@
 #include "base/result_code.hpp"
 #include "model/address.hpp"
 #include "model/ids.hpp"
+#include "routing/accounts/messages.hpp"
 #include "routing/event.hpp"
 
 namespace lovagetack::routing {
@@ -224,8 +225,8 @@
                  release_range, send_renewal_orders, send_renewal_report, probe_server, send_strike, send_objection,
                  write_quarantine, lift_quarantine, follow_store, send_heartbeat, send_table_change,
                  request_table_changes, send_known_changes, apply_table_change, catch_up, send_slot_request,
-                 send_slot_answer, send_slot_release, send_slot_report, send_load, send_change, read_lease,
-                 read_assignments, refresh_assignments, write_rows, request_delivered, log_line>;
+                 send_slot_answer, send_slot_release, send_slot_report, send_allowance_message, send_load, send_change,
+                 read_lease, read_assignments, refresh_assignments, write_rows, request_delivered, log_line>;
 using effects = std::vector<effect>;
 
 } // namespace lovagetack::routing
--- a/source/routing/event.hpp
+++ b/source/routing/event.hpp
@@ -14,6 +14,7 @@
 #include "base/boot_time.hpp"
 #include "base/result_code.hpp"
 #include "model/ids.hpp"
+#include "routing/accounts/messages.hpp"
 #include "routing/assignment.hpp"
 #include "routing/catalogue.hpp"
 #include "routing/table_change.hpp"
@@ -575,16 +576,15 @@
 /// The process is about to end: what has not been answered by now can only be answered by this instance.
 struct shutdown_ends {};
 
-using event =
-    std::variant<store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected,
-                 evacuations_updated, backend_server_updated, backend_server_removed, registry_complete,
-                 assignment_learned, assignment_changed, assignments_complete, instance_updated, instance_removed,
-                 quarantine_learned, quarantine_removed, request_strike, quarantine_objection, server_probed,
-                 lease_read, rows_written, assignments_read, grant_ended, release_ended, renewal_orders, renewal_report,
-                 table_updated, slot_request, slot_answer, slot_release, slot_report, reader_heartbeat,
-                 table_change_received, table_changes_wanted, table_changes_unknown, instance_load, request_announced,
-                 request_arrived, caller_left, connection_dropped, attempt_sent, signals_received,
-                 answer_forwarding_started, answer_progress, attempt_ended, promise_withheld, message_not_sent,
-                 message_rejected, ticked, shutdown_begun, shutdown_nears_end, shutdown_ends>;
+using event = std::variant<
+    store_reachability_changed, store_era_seen, configuration_updated, configuration_rejected, evacuations_updated,
+    backend_server_updated, backend_server_removed, registry_complete, assignment_learned, assignment_changed,
+    assignments_complete, instance_updated, instance_removed, quarantine_learned, quarantine_removed, request_strike,
+    quarantine_objection, server_probed, lease_read, rows_written, assignments_read, grant_ended, release_ended,
+    renewal_orders, renewal_report, table_updated, slot_request, slot_answer, slot_release, slot_report,
+    reader_heartbeat, table_change_received, table_changes_wanted, table_changes_unknown, instance_load,
+    request_announced, request_arrived, caller_left, connection_dropped, attempt_sent, signals_received,
+    answer_forwarding_started, answer_progress, attempt_ended, promise_withheld, message_not_sent, message_rejected,
+    allowance_message_received, ticked, shutdown_begun, shutdown_nears_end, shutdown_ends>;
 
 } // namespace lovagetack::routing
--- a/source/routing/keeper.cpp
+++ b/source/routing/keeper.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "routing/accounts/naming.hpp"
 #include "routing/delegation.hpp"
 #include "routing/duty.hpp"
 #include "routing/granting.hpp"
@@ -292,6 +293,7 @@
         if (!resolving) {
             keeper.term = event.version;
             keeper.order_sequence = 0;
+            take_over_counters(step, event.lease->counters);
         }
         keeper.lease_version = event.version;
         keeper.lease = *event.lease;
@@ -342,6 +344,7 @@
     keeper.lease = {};
     keeper.phase = keeper_phase::claiming;
     keeper.changed.clear();
+    take_over_counters(step, former.counters);
     write_lease(step);
 }
 
@@ -358,6 +361,7 @@
         keeper.write_unresolved = false;
         keeper.lease_version = event.version;
         keeper.lease = keeper.pending;
+        keeper.counters.confirmed = true;
         for (const auto& [service, assignment] : written) {
             publish_assignment_change(step, service, event.version, assignment);
             replace_if_newer(step, service, event.version, assignment);
@@ -457,6 +461,7 @@
             renew_grants(step, name, record);
         }
     }
+    name_counters(step);
     // A write that is carried out late must not replace an owner that was granted its keys meanwhile.
     if (may_move(step) && !keeper.write_unresolved) {
         plan_all(step);
@@ -474,7 +479,7 @@
     }
     const bool due = step.now - keeper.renewed_at >= lease_renewal || keeper.write_unresolved;
     if (keeper.phase == keeper_phase::holding && !keeper.write_under_way && step.now >= keeper.next_write &&
-        (due || (are_changes_due(step) && may_change(step)))) {
+        (due || ((are_changes_due(step) || are_roles_unwritten(step)) && may_change(step)))) {
         if (!may_change(step)) {
             // The lease may have another holder; the write then fails by its condition on the version.
             keeper.changed.clear();
--- a/source/routing/reduce.cpp
+++ b/source/routing/reduce.cpp
@@ -3,7 +3,10 @@
 #include <type_traits>
 #include <variant>
 
+#include "routing/accounts/allowances.hpp"
 #include "routing/accounts/authentication.hpp"
+#include "routing/accounts/counting.hpp"
+#include "routing/accounts/naming.hpp"
 #include "routing/asking.hpp"
 #include "routing/delegation.hpp"
 #include "routing/dispatching.hpp"
@@ -235,6 +238,26 @@
     step.add(log_line{true, "message_rejected", {text_field("cause", event.cause)}});
 }
 
+void on(step& step, const counter_roles& event) {
+    accept_roles(step, event);
+}
+
+void on(step& step, const counter_report& event) {
+    accept_counter_report(step, event);
+}
+
+void on(step& step, const token_request& event) {
+    answer_token_request(step, event);
+}
+
+void on(step& step, const token_answer& event) {
+    end_token_request(step, event);
+}
+
+void on(step& step, const allowance_message_received& event) {
+    std::visit([&step](const auto& message) { on(step, message); }, event.message);
+}
+
 void on(step& step, const ticked& /*event*/) {
     remove_missing(step);
     end_missing_evacuations(step);
@@ -245,12 +268,15 @@
     run_quarantine(step);
     run_dispatcher(step);
     run_asks(step);
+    run_counter(step);
+    run_allowances(step);
 }
 
 void on(step& step, const shutdown_begun& event) {
     step.state.shutting_down = true;
     step.state.shutdown_begun_at = step.now;
     step.state.work_ends_at = step.now + event.time_left;
+    step.state.allowances.next_report = step.now;
 }
 
 void on(step& step, const shutdown_nears_end& /*event*/) {
@@ -269,11 +295,12 @@
         return (std::holds_alternative<Events>(event) || ...);
     };
     return !is_any_of(
-        std::type_identity<std::variant<
-            request_announced, request_arrived, caller_left, connection_dropped, attempt_sent, signals_received,
-            answer_forwarding_started, answer_progress, attempt_ended, promise_withheld, message_not_sent,
-            message_rejected, instance_load, renewal_orders, renewal_report, reader_heartbeat, slot_request,
-            slot_answer, slot_release, slot_report, request_strike, quarantine_objection, server_probed>>());
+        std::type_identity<
+            std::variant<request_announced, request_arrived, caller_left, connection_dropped, attempt_sent,
+                         signals_received, answer_forwarding_started, answer_progress, attempt_ended, promise_withheld,
+                         message_not_sent, message_rejected, instance_load, renewal_orders, renewal_report,
+                         reader_heartbeat, slot_request, slot_answer, slot_release, slot_report, request_strike,
+                         quarantine_objection, server_probed, allowance_message_received>>());
 }
 
 } // namespace
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "routing/accounts/allowances.hpp"
 #include "routing/accounts/authentication.hpp"
 #include "routing/asking.hpp"
 #include "routing/exchanges.hpp"
@@ -48,6 +49,8 @@
     switch (phase) {
     case exchange_phase::queued:
         return "queued";
+    case exchange_phase::counting:
+        return "counting";
     case exchange_phase::asking:
         return "asking";
     case exchange_phase::waiting:
@@ -370,19 +373,27 @@
         answer(step, id, result_code::request_quarantined, quarantine_time_left(step, event.fingerprint));
         return;
     }
+    if (!waits_for_allowance(step, id)) {
+        place_admitted(step, id);
+    }
+}
+
+void place_admitted(step& step, exchange_id id) {
+    const auto& exchange = step.state.exchanges.at(id);
+    const auto& key = exchange.request.key;
     auto& service = service_of(step, exchange);
     service.retry_tokens = std::min(most_retry_tokens, service.retry_tokens + retry_share);
-    if (!divided_by_key(state, exchange.service)) {
+    if (!divided_by_key(step.state, exchange.service)) {
         place(step, id);
         return;
     }
-    if (!event.key) {
+    if (!key) {
         answer(step, id, result_code::request_key_missing, retry_after_for(step, exchange));
         return;
     }
-    note_key(service, step.now, *event.key);
-    service.keys_for_peers.push_back(*event.key);
-    service.keys_for_keeper.push_back(*event.key);
+    note_key(service, step.now, *key);
+    service.keys_for_peers.push_back(*key);
+    service.keys_for_keeper.push_back(*key);
     place(step, id);
 }
 
--- a/source/routing/requests.hpp
+++ b/source/routing/requests.hpp
@@ -10,6 +10,8 @@
 void admit(step& step, const request_arrived& event);
 /// Sends, queues or refuses a request, or asks a dispatcher for a slot.
 void place(step& step, exchange_id id);
+/// Places a request that is within the allowance of its client account.
+void place_admitted(step& step, exchange_id id);
 /// The same without a dispatcher, if none answers.
 void place_without_dispatcher(step& step, exchange_id id);
 /// Withdraws the requests of which nothing was sent yet to a server that takes no more of them, and places them again.
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -15,6 +15,7 @@
 
 #include "base/boot_time.hpp"
 #include "model/ids.hpp"
+#include "routing/accounts/allowance_state.hpp"
 #include "routing/assignment.hpp"
 #include "routing/catalogue.hpp"
 #include "routing/effect.hpp"
@@ -30,6 +31,8 @@
     std::uint64_t incarnation = 0;
     /// Processor time that it may use, in thousandths of a core; 0 if not known.
     std::uint32_t processor = 0;
+    /// Number of the deployment's data centres; 0 if not known.
+    std::uint32_t data_centres = 0;
 };
 
 /// Observed durations of work that have not been sent to other instances yet.
@@ -133,6 +136,8 @@
 enum class exchange_phase : std::uint8_t {
     /// Waits until a server has room.
     queued,
+    /// Waits for a token of its client account's allowance.
+    counting,
     /// Waits for a dispatcher to give it a slot.
     asking,
     /// Waits until its key has an owner that can serve it.
@@ -158,6 +163,8 @@
     /// The earlier of the caller's deadline and the route's timeout.
     base::boot_time expires_at;
     exchange_phase phase = exchange_phase::queued;
+    /// Since when it has waited for a token of its client account's allowance.
+    base::boot_time counting_since;
     /// It is not sent before this time.
     base::boot_time not_before;
     model::backend_server_id server;
@@ -342,6 +349,7 @@
     /// Sequence number of the newest orders to any delegate in this term.
     std::uint64_t order_sequence = 0;
     base::boot_time next_delegation;
+    counter_plan counters;
     /// Assignments that are not written yet; `writing` holds those of the write in progress.
     std::map<model::service_id, assignment> changed;
     /// When the first unwritten change was made, or when there was last none.
@@ -556,6 +564,7 @@
     reader_state readers;
     dispatch_state dispatch;
     quarantine_state quarantine;
+    allowance_state allowances;
     /// In a large deployment, dispatchers give out the slots of backend servers.
     bool uses_dispatchers = true;
     std::uint64_t last_attempt = 0;
--- a/tests/routing/deployment.cpp
+++ b/tests/routing/deployment.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "accounts/credential.hpp"
+#include "routing/samples.hpp"
 #include "routing/store_version.hpp"
 
 namespace lovagetack::routing::testing {
@@ -108,6 +110,8 @@
     target.state = std::make_unique<routing::state>(
         identity{model::instance_id(name), model::data_centre_id(data_centres.at(index(instance) % 3)), incarnation},
         random_());
+    // Requests of client accounts are to show the work of the counters only.
+    target.state->uses_dispatchers = accounts_.empty();
     at(restart_registration, [this, instance, start_number] {
         if (instances_[index(instance)].start_number == start_number) {
             deliver_initial_state(instance);
@@ -127,7 +131,10 @@
         return;
     }
     deliver(instance, target.start_number, store_delay, store_era_seen{era_});
-    deliver(instance, target.start_number, store_delay, configuration_updated{service_configuration()});
+    deliver(instance, target.start_number, store_delay, configuration_updated{current_configuration()});
+    for (const auto& server : unkeyed_servers()) {
+        deliver(instance, target.start_number, store_delay, backend_server_updated{server});
+    }
     deliver(instance, target.start_number, store_delay, evacuations_updated{evacuated_});
     for (const auto& server : servers_) {
         if (server.up) {
@@ -340,6 +347,106 @@
     return static_cast<double>(held) / key_count;
 }
 
+configuration deployment::current_configuration() const {
+    auto result = service_configuration();
+    result.version = configuration_version_;
+    if (accounts_.empty()) {
+        return result;
+    }
+    service_settings service;
+    service.name = account_service;
+    result.services[account_service] = service;
+    result.routes = {route_to("/", request_kind::non_idempotent, account_service)};
+    accounts::directory::builder builder;
+    for (const auto& [name, play] : accounts_) {
+        builder.add({model::client_account_id(name), std::nullopt, play.allowance}, {accounts::credential_of(name)});
+    }
+    result.accounts = builder.build().value();
+    return result;
+}
+
+std::vector<backend_server> deployment::unkeyed_servers() const {
+    std::vector<backend_server> servers;
+    for (const auto& place : data_centres) {
+        auto server = server_of("book-" + place, account_service);
+        server.data_centre = model::data_centre_id(place);
+        server.slots = 100000;
+        servers.push_back(std::move(server));
+    }
+    return accounts_.empty() ? std::vector<backend_server>() : servers;
+}
+
+void deployment::set_accounts(const std::map<std::string, accounts::allowance>& allowances) {
+    for (const auto& [name, allowance] : allowances) {
+        accounts_[name].allowance = allowance;
+    }
+    ++configuration_version_;
+    for (auto& instance : instances_) {
+        instance.state->uses_dispatchers = false;
+    }
+    for (const auto& server : unkeyed_servers()) {
+        deliver_to_all(backend_server_updated{server});
+    }
+    deliver_to_all(configuration_updated{current_configuration()});
+}
+
+void deployment::request(int instance, const std::string& account) {
+    const auto& target = instances_[index(instance)];
+    if (!target.runs) {
+        return;
+    }
+    request_arrived event;
+    event.exchange = ++last_exchange_;
+    event.request = std::to_string(last_exchange_);
+    event.host = "host";
+    event.path = "/";
+    event.deadline = 2000ms;
+    event.arrived = now_;
+    event.credential = accounts::credential_of(account);
+    account_requests_[event.exchange] = account;
+    deliver(instance, target.start_number, 0ms, event);
+}
+
+keeper_lease deployment::lease() const {
+    const auto row = store_.leases.find(era_);
+    return row == store_.leases.end() ? keeper_lease() : row->second.lease;
+}
+
+void deployment::execute(int instance, const send_request& effect) {
+    constexpr auto window = 5s;
+    const auto found = account_requests_.find(effect.exchange);
+    if (found == account_requests_.end()) {
+        return;
+    }
+    auto& play = accounts_.at(found->second);
+    ++play.served;
+    play.window.push_back(now_);
+    while (play.window.front() < now_ - window) {
+        play.window.pop_front();
+    }
+    const double most = (play.allowance.rate * 5 + play.allowance.burst) * 1.1 + 20;
+    if (static_cast<double>(play.window.size()) > most) {
+        record_violation(0, "account " + found->second + " has " + std::to_string(play.window.size()) +
+                                " requests in a window, allowed are " + std::to_string(most));
+    }
+    attempt_ended ended;
+    ended.exchange = effect.exchange;
+    ended.attempt = effect.attempt;
+    ended.outcome = attempt_outcome::delivered;
+    ended.status = 200;
+    deliver(instance, instances_[index(instance)].start_number, work_time, ended);
+}
+
+void deployment::execute(int instance, const answer_caller& effect) {
+    (void)instance;
+    const auto found = account_requests_.find(effect.exchange);
+    if (found == account_requests_.end()) {
+        return;
+    }
+    auto& play = accounts_.at(found->second);
+    ++(effect.status == 429 ? play.over_allowance : play.refused_otherwise);
+}
+
 void deployment::execute(int instance, const send_load& effect) {
     for (int number = 0; number < instances(); ++number) {
         const auto& target = instances_[index(number)];
@@ -381,6 +488,13 @@
     deliver_message(instance, effect.receiver, effect.report);
 }
 
+void deployment::execute(int instance, const send_allowance_message& effect) {
+    allowance_messages_ += effect.receivers.size();
+    for (const auto& receiver : effect.receivers) {
+        deliver_message(instance, receiver, allowance_message_received{effect.message});
+    }
+}
+
 void deployment::deliver_message(int sender, const model::instance_id& receiver, const event& event) {
     for (int number = 0; number < instances(); ++number) {
         const auto& target = instances_[index(number)];
--- a/tests/routing/deployment.hpp
+++ b/tests/routing/deployment.hpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,6 +41,16 @@
     std::uint64_t grants_sent = 0;
 };
 
+/// What has become of the requests of one client account.
+struct account_play {
+    accounts::allowance allowance;
+    /// Arrivals at servers in the last window of the allowance.
+    std::deque<base::boot_time> window;
+    std::uint64_t served = 0;
+    std::uint64_t over_allowance = 0;
+    std::uint64_t refused_otherwise = 0;
+};
+
 /// Several instances, a store and backend servers in simulated time. Records violations of single ownership.
 class deployment {
 public:
@@ -80,6 +91,17 @@
     void evacuate(const std::string& data_centre, bool on);
     void request_key(std::uint32_t key);
 
+    /// From the next start of an instance on, or its next configuration, requests of these accounts are served by a
+    /// service without keys. The key of an account is its name.
+    void set_accounts(const std::map<std::string, accounts::allowance>& allowances);
+    /// Sends a request of the account to the instance. None is sent to one that does not run.
+    void request(int instance, const std::string& account);
+    [[nodiscard]] const account_play& account(const std::string& name) const { return accounts_.at(name); }
+    /// Messages about allowances that all instances have sent.
+    [[nodiscard]] std::uint64_t allowance_messages() const { return allowance_messages_; }
+    /// The lease as the store shows it.
+    [[nodiscard]] keeper_lease lease() const;
+
     /// The index of the instance that is the keeper; -1 if there is none.
     [[nodiscard]] int keeper() const;
     /// Ids of the running servers that hold the key now.
@@ -120,11 +142,11 @@
     [[nodiscard]] bool are_connected(int left, int right) const;
     [[nodiscard]] bool reaches_server(int instance, const fake_server& server) const;
 
-    void execute(int instance, const send_request& /*effect*/) { (void)instance; }
+    void execute(int instance, const send_request& effect);
     void execute(int instance, const cancel_attempt& /*effect*/) { (void)instance; }
     void execute(int instance, const report_answer_progress& /*effect*/) { (void)instance; }
     void execute(int instance, const deliver_answer& /*effect*/) { (void)instance; }
-    void execute(int instance, const answer_caller& /*effect*/) { (void)instance; }
+    void execute(int instance, const answer_caller& effect);
     void execute(int instance, const request_delivered& /*effect*/) { (void)instance; }
     void execute(int instance, const log_line& effect);
     void execute(int instance, const send_load& effect);
@@ -141,6 +163,7 @@
     void execute(int instance, const send_slot_answer& /*effect*/) { (void)instance; }
     void execute(int instance, const send_slot_release& /*effect*/) { (void)instance; }
     void execute(int instance, const send_slot_report& /*effect*/) { (void)instance; }
+    void execute(int instance, const send_allowance_message& effect);
     // No requests are sent to the servers of this deployment.
     void execute(int instance, const probe_server& /*effect*/) { (void)instance; }
     void execute(int instance, const send_strike& /*effect*/) { (void)instance; }
@@ -174,6 +197,13 @@
     std::vector<fake_instance> instances_;
     std::vector<fake_server> servers_;
     std::set<model::data_centre_id> evacuated_;
+    std::uint64_t configuration_version_ = 1;
+    std::map<std::string, account_play> accounts_;
+    std::map<exchange_id, std::string> account_requests_;
+    exchange_id last_exchange_ = 0;
+    std::uint64_t allowance_messages_ = 0;
+    [[nodiscard]] configuration current_configuration() const;
+    [[nodiscard]] std::vector<backend_server> unkeyed_servers() const;
     bool store_down_ = false;
     double lost_answer_share_ = 0;
     bool late_writes_ = false;
@@ -210,5 +240,7 @@
 };
 
 inline const model::service_id keyed_service{"board"};
+/// The service of the client accounts' requests.
+inline const model::service_id account_service{"book"};
 
 } // namespace lovagetack::routing::testing
--- a/tests/routing/load_play.hpp
+++ b/tests/routing/load_play.hpp
@@ -269,6 +269,7 @@
     // The servers of this load do not end.
     void execute(simulated_instance& /*instance*/, const probe_server& /*effect*/) {}
     void execute(simulated_instance& /*instance*/, const send_strike& /*effect*/) {}
+    void execute(simulated_instance& /*instance*/, const send_allowance_message& /*effect*/) {}
     void execute(simulated_instance& /*instance*/, const send_objection& /*effect*/) {}
     void execute(simulated_instance& /*instance*/, const write_quarantine& /*effect*/) {}
     void execute(simulated_instance& /*instance*/, const lift_quarantine& /*effect*/) {}
--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -245,6 +245,7 @@
     void execute(std::size_t /*instance*/, const send_slot_release& effect) {
         deliver(effect.receiver, effect.release);
     }
+    void execute(std::size_t /*instance*/, const send_allowance_message& /*effect*/) {}
     void execute(std::size_t /*instance*/, const send_slot_report& effect) { deliver(effect.receiver, effect.report); }
 
     void execute(std::size_t /*instance*/, const send_objection& effect) { deliver(effect.receiver, effect.objection); }
