--- a/tests/routing/allowances_test.cpp
+++ b/tests/routing/allowances_test.cpp
@@ -1,10 +1,12 @@
 #include <catch2/catch.hpp>
 
+#include "accounts/credential.hpp"
 #include "routing/accounts/counting.hpp"
 #include "routing/accounts/limits.hpp"
 #include "routing/accounts/token_bucket.hpp"
 #include "routing/deployment.hpp"
 #include "routing/lease_row.hpp"
+#include "routing/samples.hpp"
 
 namespace lovagetack::routing::testing {
 namespace {
@@ -104,10 +106,10 @@
 void play_faults(int instances, std::uint64_t seed) {
     deployment deployment(instances, 3, seed);
     std::mt19937_64 random(seed * 104729);
-    deployment.set_accounts({{"large", {40, 20}}, {"small", {4, 4}}, {"hot", {6, 3}}});
+    deployment.set_accounts({{"large", {90, 20}}, {"small", {4, 4}}, {"hot", {30, 3}}});
     demand demand(deployment, seed);
     const int last = instances - 1;
-    demand.set({{"large", 60, 0, last}, {"small", 6, 0, last}, {"hot", 60, 0, last}});
+    demand.set({{"large", 200, 0, last}, {"small", 6, 0, last}, {"hot", 90, 0, last}});
     demand.run_for(3s);
     for (int fault = 0; fault < 20; ++fault) {
         begin_fault(deployment, random);
@@ -115,7 +117,8 @@
             // Lowered limits are to hold from the next window on, so they are only raised here.
             deployment.set_accounts({{"small", {4 + static_cast<double>(fault) / 10, 4}}});
         }
-        demand.run_for(std::chrono::milliseconds(100 + random() % 3000));
+        // Some faults last until roles have other holders.
+        demand.run_for(std::chrono::milliseconds(100 + random() % (random() % 3 == 0 ? 18000 : 3000)));
     }
     INFO("seed " << seed << ", instances " << instances << '\n' << text_of(deployment.violations()));
     CHECK(deployment.violations().empty());
@@ -189,6 +192,129 @@
     }
 }
 
+// Guards against tokens that are saved up: the bound allows for those of 0.4 s only.
+TEST_CASE("tokens that come late or are not used in time admit no request") {
+    state state({model::instance_id("one"), model::data_centre_id("north"), 5}, 1);
+    const model::client_account_id name("acme");
+    base::boot_time now(100s);
+    configuration configuration;
+    configuration.version = 1;
+    service_settings service;
+    service.name = account_service;
+    configuration.services[account_service] = service;
+    configuration.routes = {route_to("/", request_kind::idempotent, account_service)};
+    accounts::directory::builder builder;
+    builder.add({name, std::nullopt, {10, 20}}, {accounts::credential_of("key")});
+    configuration.accounts = builder.build().value();
+    (void)reduce(state, now, configuration_updated{configuration});
+    auto server = server_of("book-0", account_service);
+    server.slots = 100;
+    (void)reduce(state, now, backend_server_updated{server});
+    const counter_role role{0, group_of(name), model::instance_id("two"), 7};
+    (void)reduce(state, now, allowance_message_received{counter_roles{role.holder, 9, 1, 1, {role}, 0, {}, {}}});
+    exchange_id last = 0;
+    std::uint64_t ask = 0;
+    std::size_t sent = 0;
+    std::vector<int> statuses;
+    const auto process = [&](const event& event) {
+        for (const auto& effect : reduce(state, now, event)) {
+            if (const auto* const message = std::get_if<send_allowance_message>(&effect)) {
+                ask = std::get<token_request>(message->message).ask;
+            } else if (const auto* const answer = std::get_if<answer_caller>(&effect)) {
+                statuses.push_back(answer->status);
+                CHECK(answer->retry_after > 0ms);
+            }
+            sent += std::holds_alternative<send_request>(effect) ? 1 : 0;
+        }
+    };
+    const auto request = [&] {
+        request_arrived event;
+        event.exchange = ++last;
+        event.host = "host";
+        event.path = "/";
+        event.arrived = now;
+        event.credential = accounts::credential_of("key");
+        process(event);
+    };
+    const auto answer = [&](std::uint32_t granted, std::chrono::milliseconds wait) {
+        process(allowance_message_received{token_answer{ask, 5, true, granted, wait}});
+    };
+    request();
+    CHECK(sent == 0);
+
+    SECTION("tokens that come in time admit requests until 0.4 s after they were asked for") {
+        answer(2, 0ms);
+        CHECK(sent == 1);
+        now += token_life + 1ms;
+        request();
+        CHECK(sent == 1);
+        answer(1, 0ms);
+        CHECK(sent == 2);
+    }
+    SECTION("tokens that come late are not used") {
+        now += token_life + 1ms;
+        answer(2, 0ms);
+        CHECK(sent == 0);
+    }
+    SECTION("an answer to another run of the instance is not used") {
+        process(allowance_message_received{token_answer{ask, 4, true, 1, {}}});
+        CHECK(sent == 0);
+    }
+    SECTION("without tokens the request is refused, and the next ones without a message") {
+        answer(0, 800ms);
+        CHECK(statuses == std::vector{429});
+        ask = 0;
+        now += 790ms;
+        request();
+        CHECK(statuses == std::vector{429, 429});
+        CHECK(ask == 0);
+        now += 20ms;
+        request();
+        CHECK(ask != 0);
+        CHECK(statuses.size() == 2);
+    }
+    SECTION("without an answer the request is refused in time") {
+        for (auto left = longest_allowance_wait; left > 0ms; left -= 10ms) {
+            CHECK(statuses.empty());
+            now += 10ms;
+            process(ticked{});
+        }
+        CHECK(statuses == std::vector{503});
+        CHECK(state.refused.at(base::result_code::request_allowance_unknown) == 1);
+    }
+}
+
+// Guards against a second counter beside one that is cut off, and against a permit without an end.
+TEST_CASE("an allowance holds on both sides of a long cut") {
+    deployment deployment(12, 3, 14);
+    deployment.set_accounts({{"acme", {90, 10}}});
+    demand demand(deployment, 6);
+    demand.run_for(5s);
+    demand.set({{"acme", 300, 0, 11}});
+    demand.run_for(5s);
+    SECTION("of a data centre") {
+        deployment.set_data_centre_cut(GENERATE(0, 1, 2), true);
+    }
+    SECTION("of the store") {
+        deployment.set_store_down(true);
+    }
+    SECTION("of the keeper") {
+        deployment.set_isolated(deployment.keeper(), true);
+    }
+    demand.run_for(40s);
+    CHECK(deployment.violations().empty());
+    deployment.set_store_down(false);
+    for (int number = 0; number < 12; ++number) {
+        deployment.set_isolated(number, false);
+        deployment.set_data_centre_cut(number % 3, false);
+    }
+    demand.run_for(12s);
+    const auto before = deployment.account("acme").served;
+    demand.run_for(10s);
+    CHECK(static_cast<double>(deployment.account("acme").served - before) >= 0.9 * 90 * 10);
+    CHECK(deployment.violations().empty());
+}
+
 // Guards against a change of rows and traffic where no account has an allowance.
 TEST_CASE("a deployment without allowances sends no messages about them and keeps its lease's row") {
     deployment deployment(6, 3, 4);
