accounts: the token of a refused request goes back; metrics of refusals

A request that was refused with 503 after it got a token had used up a part of the allowance without having been sent. Slices keep parts of tokens that nobody can use. Change: a request that ends unsent gives its token back for the rest of its life; the depth of a slice is one token more. Metrics of refused requests for up to 20 accounts and of the roles of an instance; a test of the messages' encoding.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "base/unix_time.hpp"
+#include "routing/accounts/allowances.hpp"
 #include "routing/dispatching.hpp"
 #include "routing/limits.hpp"
 #include "routing/readers.hpp"
@@ -257,6 +258,11 @@
     }
     gauge("lovagetack_requests_delivered_total", {}, state_.delivered);
     gauge("lovagetack_requests_unauthenticated_total", {}, state_.unauthenticated);
+    for (const auto& [account, count] : routing::refusals_by_account(state_)) {
+        const auto& name = account.empty() ? "other" : account.value();
+        gauge("lovagetack_requests_over_allowance_total", {{"account", name}}, count);
+    }
+    gauge("lovagetack_counter_roles", {}, state_.allowances.counting.size());
     gauge("lovagetack_client_accounts", {}, state_.configuration.accounts.accounts().size());
     gauge("lovagetack_retries_total", {}, state_.retries);
     gauge("lovagetack_ranges_moved_total", {}, state_.moves);
--- a/source/routing/accounts/allowance_state.hpp
+++ b/source/routing/accounts/allowance_state.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -93,6 +94,8 @@
     std::unordered_map<std::uint64_t, pending_ask> asks;
     /// Counters that did not answer, and until when they are passed over.
     std::map<model::instance_id, base::boot_time> suspects;
+    /// Accounts with a metric of their own: the first that were refused requests.
+    std::set<model::client_account_id> shown;
     /// When refusals may be logged next, and those since the last line.
     base::boot_time next_log;
     std::uint64_t unlogged = 0;
--- a/source/routing/accounts/allowances.cpp
+++ b/source/routing/accounts/allowances.cpp
@@ -33,15 +33,16 @@
            static_cast<std::uint32_t>(std::floor(others * life * expected_use_share));
 }
 
-bool take_token(token_stock& stock, base::boot_time now) {
+/// Takes a token and returns the end of its life.
+std::optional<base::boot_time> take_token(token_stock& stock, base::boot_time now) {
     while (!stock.tokens.empty() && (stock.tokens.front().first < now || stock.tokens.front().second == 0)) {
         stock.tokens.pop_front();
     }
     if (stock.tokens.empty()) {
-        return false;
+        return std::nullopt;
     }
     --stock.tokens.front().second;
-    return true;
+    return stock.tokens.front().first;
 }
 
 /// Removes requests that have ended while they waited.
@@ -52,9 +53,10 @@
     });
 }
 
-void place_next(step& step, token_stock& stock) {
+void place_next(step& step, token_stock& stock, base::boot_time token_until) {
     const auto id = stock.waiting.front();
     stock.waiting.pop_front();
+    step.state.exchanges.at(id).token_until = token_until;
     step.state.exchanges.at(id).phase = exchange_phase::queued;
     place_admitted(step, id);
 }
@@ -173,6 +175,9 @@
     step.add(answer_caller{id, too_many_requests, result_code::request_over_allowance, retry_after});
     ++state.refused[result_code::request_over_allowance];
     ++stock.refused;
+    if (state.allowances.shown.size() < shown_accounts) {
+        state.allowances.shown.insert(exchange.account.value_or(model::client_account_id()));
+    }
     ++state.allowances.unlogged;
     if (step.now >= state.allowances.next_log) {
         state.allowances.next_log = step.now + allowance_log_period;
@@ -202,8 +207,8 @@
     auto& stock = step.state.allowances.stocks[account];
     remove_ended(step, stock);
     while (!stock.waiting.empty()) {
-        if (take_token(stock, step.now)) {
-            place_next(step, stock);
+        if (const auto token_until = take_token(stock, step.now)) {
+            place_next(step, stock, *token_until);
             continue;
         }
         auto result = ask_for_tokens(step, account, stock, false);
@@ -242,7 +247,9 @@
     }
     auto& stock = step.state.allowances.stocks[name];
     note_demand(stock, step.now);
-    if (stock.waiting.empty() && take_token(stock, step.now)) {
+    const auto token_until = stock.waiting.empty() ? take_token(stock, step.now) : std::nullopt;
+    if (token_until) {
+        exchange.token_until = *token_until;
         return false;
     }
     exchange.phase = exchange_phase::counting;
@@ -275,6 +282,26 @@
     serve_waiting(step, ask.account);
 }
 
+void return_token(step& step, const exchange& exchange) {
+    if (exchange.token_until < step.now || exchange.attempts > 0 || !exchange.account) {
+        return;
+    }
+    auto& tokens = step.state.allowances.stocks[*exchange.account].tokens;
+    tokens.emplace_back(exchange.token_until, 1);
+    std::sort(tokens.begin(), tokens.end());
+}
+
+std::map<model::client_account_id, std::uint64_t> refusals_by_account(const state& state) {
+    std::map<model::client_account_id, std::uint64_t> refusals;
+    for (const auto& [account, stock] : state.allowances.stocks) {
+        const bool shown = state.allowances.shown.contains(account);
+        if (stock.refused > 0) {
+            refusals[shown ? account : model::client_account_id()] += stock.refused;
+        }
+    }
+    return refusals;
+}
+
 void run_allowances(step& step) {
     auto& own = step.state.allowances;
     std::erase_if(own.asks, [&step](const auto& entry) { return step.now - entry.second.sent_at > token_life; });
--- a/source/routing/accounts/allowances.hpp
+++ b/source/routing/accounts/allowances.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstdint>
+#include <map>
+
 #include "routing/step.hpp"
 
 namespace lovagetack::routing {
@@ -12,6 +15,12 @@
 
 void end_token_request(step& step, const token_answer& event);
 
+/// Takes back the token of a request that ends without having been sent.
+void return_token(step& step, const exchange& exchange);
+
+/// Refused requests of the accounts that have a metric of their own; those of all others are under an empty name.
+[[nodiscard]] std::map<model::client_account_id, std::uint64_t> refusals_by_account(const state& state);
+
 /// Passes over silent counters and refuses requests that have waited too long.
 void run_allowances(step& step);
 
--- a/source/routing/accounts/counting.cpp
+++ b/source/routing/accounts/counting.cpp
@@ -105,8 +105,8 @@
         return answer;
     }
     const double rate = account->allowance.rate / own.slices;
-    // A slice below one token would never issue any.
-    const double depth = std::max(1.0, account->allowance.burst / own.slices);
+    // A slice issues whole tokens only. One more makes up for the parts of tokens that the other slices hold.
+    const double depth = account->allowance.burst / own.slices + 1;
     auto& bucket = own.buckets.try_emplace({slice, name}, role->second).first->second;
     answer.granted = bucket.take(step.now, rate, depth, count);
     if (answer.granted == 0) {
--- a/source/routing/accounts/limits.hpp
+++ b/source/routing/accounts/limits.hpp
@@ -36,6 +36,8 @@
 inline constexpr std::chrono::microseconds longest_allowance_wait = 300ms;
 /// Callers over the allowance return within this time after a token is expected, not all at once.
 inline constexpr std::chrono::milliseconds over_allowance_spread = 200ms;
+/// Most client accounts with a metric of their own.
+inline constexpr std::size_t shown_accounts = 20;
 /// Shortest time between two log lines about requests over an allowance, of which a caller can send any number.
 inline constexpr std::chrono::microseconds allowance_log_period = 1s;
 
--- a/source/routing/exchanges.cpp
+++ b/source/routing/exchanges.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "routing/accounts/allowances.hpp"
 #include "routing/asking.hpp"
 #include "routing/log_fields.hpp"
 #include "routing/signals.hpp"
@@ -55,6 +56,7 @@
 void erase_exchange(step& step, exchange_id id) {
     const auto found = step.state.exchanges.find(id);
     release_ask(step, found->second, std::nullopt);
+    return_token(step, found->second);
     remove_from_queues(step, id, found->second);
     step.state.deadlines.erase({found->second.expires_at, id});
     step.state.answer_checks.erase({found->second.answer_check_at, id});
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -165,6 +165,8 @@
     exchange_phase phase = exchange_phase::queued;
     /// Since when it has waited for a token of its client account's allowance.
     base::boot_time counting_since;
+    /// End of the life of its token, which goes back if the request is refused before it was sent.
+    base::boot_time token_until;
     /// It is not sent before this time.
     base::boot_time not_before;
     model::backend_server_id server;
--- a/tests/gateway/relay_test.cpp
+++ b/tests/gateway/relay_test.cpp
@@ -624,6 +624,45 @@
     REQUIRE_FALSE(reported.renewals.front().accepted);
 }
 
+TEST_CASE("messages about allowances are decoded as they were encoded") {
+    const auto again = [](const routing::allowance_message& message) {
+        const auto bytes = load_exchange::encode(message);
+        const auto event = load_exchange::decode(QByteArray(bytes.data(), static_cast<qsizetype>(bytes.size())));
+        return std::get<routing::allowance_message_received>(event.value()).message;
+    };
+    const model::instance_id one("one");
+    const base::boot_time time(std::chrono::microseconds(123456789));
+    const auto roles = std::get<routing::counter_roles>(
+        again(routing::counter_roles{one, 9, 8, 3, {{2, 7, one, ~0ULL}}, 5, time, std::chrono::milliseconds(6000)}));
+    CHECK(roles.keeper == one);
+    CHECK(std::pair(roles.term, roles.sequence) == std::pair(std::uint64_t(9), std::uint64_t(8)));
+    CHECK(roles.slices == 3);
+    CHECK(roles.roles == std::vector<routing::counter_role>{{2, 7, one, ~0ULL}});
+    CHECK(roles.receiver_incarnation == 5);
+    CHECK(roles.reported_at == time);
+    CHECK(roles.valid_for == std::chrono::milliseconds(6000));
+    const auto report = std::get<routing::counter_report>(again(routing::counter_report{one, 6, time, true}));
+    CHECK(report.counter == one);
+    CHECK(report.incarnation == 6);
+    CHECK(report.reported_at == time);
+    CHECK(report.ended);
+    const model::client_account_id acme("acme");
+    const auto request = std::get<routing::token_request>(again(routing::token_request{one, 6, 11, 2, acme, 4}));
+    CHECK(request.sender == one);
+    CHECK(request.incarnation == 6);
+    CHECK(request.ask == 11);
+    CHECK(request.slice == 2);
+    CHECK(request.account == acme);
+    CHECK(request.count == 4);
+    const auto answer =
+        std::get<routing::token_answer>(again(routing::token_answer{11, 6, false, 3, std::chrono::milliseconds(250)}));
+    CHECK(answer.ask == 11);
+    CHECK(answer.incarnation == 6);
+    CHECK_FALSE(answer.counts);
+    CHECK(answer.granted == 3);
+    CHECK(answer.wait == std::chrono::milliseconds(250));
+}
+
 TEST_CASE("strikes and objections are decoded as they were encoded") {
     const auto decode = [](const std::string& bytes) {
         return load_exchange::decode(QByteArray::fromStdString(bytes)).value();
