--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "base/unix_time.hpp"
+#include "routing/accounts/allowances.hpp"
 #include "routing/dispatching.hpp"
 #include "routing/limits.hpp"
 #include "routing/readers.hpp"
@@ -57,7 +58,8 @@
     : settings_(std::move(values)), adapters_(std::move(adapters)),
       log_(settings_.instance.value(), telemetry::log_level::info, ""),
       state_(routing::identity{settings_.instance, settings_.data_centre,
-                               static_cast<std::uint64_t>(base::unix_time_now().count()), settings_.processor},
+                               static_cast<std::uint64_t>(base::unix_time_now().count()), settings_.processor,
+                               settings_.data_centres},
              std::random_device{}()),
       relay_(
           *adapters_.dialect, [this](const routing::event& event) { handle(event); }, caller_connections(settings_),
@@ -275,6 +277,11 @@
     }
     gauge("lovagetack_requests_delivered_total", {}, state_.delivered);
     gauge("lovagetack_requests_unauthenticated_total", {}, state_.unauthenticated);
+    for (const auto& [account, count] : routing::refusals_by_account(state_)) {
+        const auto& name = account.empty() ? "other" : account.value();
+        gauge("lovagetack_requests_over_allowance_total", {{"account", name}}, count);
+    }
+    gauge("lovagetack_counter_roles", {}, state_.allowances.counting.size());
     gauge("lovagetack_client_accounts", {}, state_.configuration.accounts.accounts().size());
     gauge("lovagetack_retries_total", {}, state_.retries);
     gauge("lovagetack_ranges_moved_total", {}, state_.moves);
