capacity: what each server takes well is learned from its answers

Cause: the time of a server was one moving average without an age, its requests at once were the registered slots, and a rejection paused it for 60 ms, so a server that rejects requests although it has room was asked again and again. Change: capacity::estimate learns the time and the requests at once of a server, capacity::backoff keeps requests for any server away from one that rejects or fails them and finds it again by single requests. Work time ends when the answer begins, whoever reads it slowly.

--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "routing/limits.hpp"
 #include "routing/readers.hpp"
 #include "routing/reduce.hpp"
+#include "routing/servers.hpp"
 #include "routing/signals.hpp"
 #include "routing/store_version.hpp"
 #include "routing/table_copy.hpp"
@@ -283,6 +284,15 @@
     gauge("lovagetack_servers_stating_leaving", {},
           std::count_if(state_.stating_servers.begin(), state_.stating_servers.end(),
                         [this](const auto& id) { return state_.servers.at(id).stated.leaving_since.has_value(); }));
+    const auto count_servers = [this](const auto& matches) {
+        return std::count_if(state_.servers.begin(), state_.servers.end(),
+                             [&matches](const auto& entry) { return matches(entry.second); });
+    };
+    gauge("lovagetack_servers_backed_off", {},
+          count_servers([](const auto& server) { return server.backoff.active(); }));
+    gauge("lovagetack_servers_limited", {}, count_servers([this](const auto& server) {
+              return routing::most_at_once(state_, server, base::boot_clock::now()) < server.registration.slots;
+          }));
     for (const auto table : routing::followed_tables) {
         const telemetry::labels labels = {{"table", std::string(routing::name_of(table))}};
         gauge("lovagetack_table_version", labels, number_of(routing::table_version(state_, table)));
--- a/source/routing/dispatching.cpp
+++ b/source/routing/dispatching.cpp
@@ -12,10 +12,6 @@
 namespace lovagetack::routing {
 namespace {
 
-/// Cost of a further request at a server whose other slots are in use, as a share of the time of a request: some
-/// servers slow down when they are nearly full.
-constexpr double busy_slot_share = 0.25;
-
 /// A group, and the server if the queue is for one.
 using ask_queue_id = std::pair<server_group, model::backend_server_id>;
 
@@ -62,12 +58,36 @@
 
 /// Expected time of a request that is sent to the server now, in microseconds.
 double expected_time_at(const step& step, const server_record& server) {
-    double time = static_cast<double>(usual_time(step.state, server).count());
+    double time = static_cast<double>(usual_time(step.state, server, step.now).count());
     if (step.now - server.load_at < report_age) {
         time *= std::max(10, server.load.slowness) / 100.0;
     }
-    const double busy = used_slots(step.state, server.registration.id) / static_cast<double>(server.registration.slots);
-    return time * (1.0 + busy_slot_share * busy) / (1.0 - std::min(0.9, server.failing));
+    const auto others = used_slots(step.state, server.registration.id);
+    return time * slowdown(step.state, server, others, step.now) / (1.0 - std::min(0.9, server.failing));
+}
+
+/// Whether the queue's servers that are backed off can be left out: the requests need not go to one of them, and they
+/// are at most half of the servers. If more reject requests, the others could not take the load.
+bool may_leave_out(const step& step, const ask_queue_id& queue, const std::vector<model::backend_server_id>& servers) {
+    if (!queue.second.empty()) {
+        return false;
+    }
+    std::size_t taking = 0;
+    std::size_t backed_off = 0;
+    for (const auto& id : servers) {
+        const auto& server = step.state.servers.at(id);
+        if (takes(step, server, queue)) {
+            ++taking;
+            backed_off += server.backoff.active() ? 1 : 0;
+        }
+    }
+    return backed_off * 2 <= taking;
+}
+
+/// Whether the server may have one more request in progress.
+bool has_free_slot(const step& step, const server_record& server, bool leaves_out) {
+    const auto used = used_slots(step.state, server.registration.id);
+    return used < most_at_once(step.state, server, step.now) && (!leaves_out || used < server.backoff.limit(step.now));
 }
 
 bool is_excluded(const slot_request& request, const model::backend_server_id& server) {
@@ -79,10 +99,11 @@
     server_record* best = nullptr;
     double best_time = 0;
     const auto queue = queue_of(request);
-    for (const auto& id : servers_of_queue(step, queue)) {
+    const auto servers = servers_of_queue(step, queue);
+    const bool leaves_out = may_leave_out(step, queue, servers);
+    for (const auto& id : servers) {
         auto& server = step.state.servers.at(id);
-        if (is_excluded(request, id) || !takes(step, server, queue) ||
-            used_slots(step.state, id) >= server.registration.slots) {
+        if (is_excluded(request, id) || !takes(step, server, queue) || !has_free_slot(step, server, leaves_out)) {
             continue;
         }
         const double jitter = 0.95 + static_cast<double>(step.state.random() % 1000) / 10000.0;
--- a/source/routing/peers.cpp
+++ b/source/routing/peers.cpp
@@ -27,7 +27,7 @@
             continue;
         }
         if (item.observations > 0) {
-            note_service_time(step.state, found->second, item.observed, item.observations);
+            note_reported_time(step, found->second, item.observed, item.observations);
         }
         note_told_leaving(step, found->second, item.leaving_born, item.leaving_age);
         if (!item.load) {
--- a/source/routing/requests.cpp
+++ b/source/routing/requests.cpp
@@ -486,15 +486,17 @@
     }
     auto& exchange = *current;
     const auto elapsed = step.now - exchange.attempt_at;
+    // A caller that reads its answer slowly says nothing of the server.
+    const auto worked = exchange.forwarding ? exchange.forwarding_since - exchange.attempt_at : elapsed;
     const auto server = step.state.servers.find(exchange.server);
     if (server != step.state.servers.end()) {
         end_outstanding(step, server->second, exchange);
         note_end_after_pause(server->second, exchange, event.outcome);
-        record_outcome(step, server->second, event, elapsed);
+        record_outcome(step, server->second, event, worked);
     }
-    const auto elapsed_milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
+    const auto worked_milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(worked);
     release_ask(step, exchange,
-                attempt_summary{event.outcome, event.status, elapsed_milliseconds, event.load, exchange.signals,
+                attempt_summary{event.outcome, event.status, worked_milliseconds, event.load, exchange.signals,
                                 exchange.server_born});
     if (event.outcome == attempt_outcome::delivered || event.outcome == attempt_outcome::failed) {
         note_good_end(step, exchange.request.fingerprint);
--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <functional>
 
+#include "routing/exchanges.hpp"
 #include "routing/groups.hpp"
 #include "routing/log_fields.hpp"
 #include "routing/quarantine.hpp"
@@ -15,6 +16,14 @@
 /// Share of failed requests above which a server gets no new work for failing_pause.
 constexpr double failing_share = 0.35;
 
+/// A server that has just started is slow for some seconds, which says nothing of its usual speed.
+constexpr std::chrono::microseconds starting_time = 3s;
+
+std::chrono::microseconds usual_time_of(const state& state, const model::service_id& service) {
+    const auto found = state.services.find(service);
+    return found == state.services.end() ? assumed_service_time : found->second.service_time;
+}
+
 /// Rank of an instance for a server: instances of the server's data centre come first, ties are ordered by hash.
 std::pair<bool, std::size_t> rank(const model::instance_id& instance, const instance_record& record,
                                   const backend_server& server) {
@@ -47,7 +56,8 @@
     record.spare_window = first_spare_window;
     record.paused_until = {};
     record.failures_in_row = 0;
-    record.service_time_known = false;
+    record.capacity = {};
+    record.backoff = {};
     record.failing = 0;
     record.load = {};
     record.load_at = {};
@@ -57,6 +67,65 @@
     record.cold_tokens = 1;
 }
 
+/// Cost of a further request at a server whose other slots are in use, as a share of the time of a request: some
+/// servers slow down when they are nearly full. It counts until the server's answers show more.
+constexpr double busy_slot_share = 0.25;
+
+/// Whether the server had no room for the request by its own report, or by the requests that are known if it made none.
+/// Rejecting is right then.
+bool was_full(const server_record& server, const attempt_ended& event) {
+    const auto slots = std::max(1, server.registration.slots);
+    if (event.load) {
+        return event.load->running >= slots || event.load->waiting > 0;
+    }
+    return server.outstanding + server.peers_outstanding >= slots;
+}
+
+void log_backoff(step& step, const server_record& server, bool begins) {
+    step.add(log_line{begins,
+                      begins ? "server_backed_off" : "server_readmitted",
+                      {text_field("server", server.registration.id.value()),
+                       text_field("service", server.registration.service.value()),
+                       number_field("rejected_percent", static_cast<std::int64_t>(100 * server.backoff.share()))}});
+}
+
+/// Learns the time of a request that was answered without a queue at the server.
+void note_work(step& step, server_record& server, const attempt_ended& event, std::chrono::microseconds elapsed) {
+    const std::chrono::microseconds usual(elapsed.count() * 100 / std::max(10, event.load->slowness));
+    auto& state = step.state;
+    auto& service = state.services[server.registration.service];
+    if (!learns_capacity(state)) {
+        server.capacity.average(usual, 1, service.service_time);
+    } else {
+        const capacity::answer answer{usual, step.now - elapsed, event.load->running + 1, server.registration.slots,
+                                      !is_cold(server, step.now) && step.now - server.registered_at >= starting_time};
+        server.capacity.learn(step.now, answer, service.service_time);
+    }
+    service.service_time = mean_after(service.service_time, usual, service_average_weight, 1);
+    for (auto* const times : {&server.times_for_peers, &server.times_for_keeper}) {
+        ++times->count;
+        times->sum += usual;
+    }
+}
+
+/// Learns from an attempt whether the server rejects or fails requests that it has room for.
+void note_backoff(step& step, server_record& server, const attempt_ended& event, bool good,
+                  std::chrono::microseconds elapsed) {
+    if (!learns_capacity(step.state)) {
+        return;
+    }
+    const auto sent = step.now - elapsed;
+    if (good) {
+        if (server.backoff.note_answer(sent)) {
+            log_backoff(step, server, false);
+        }
+        return;
+    }
+    if (!was_full(server, event) && server.backoff.note_rejection(step.now, sent)) {
+        log_backoff(step, server, true);
+    }
+}
+
 /// Requests running and waiting at the server by its last load report, less those that it has presumably served since
 /// the report. 0 if the report is out of date.
 double reported_requests(const server_record& server, double service_time, base::boot_time now) {
@@ -298,14 +367,19 @@
     if (server.paused_until > now) {
         return false;
     }
-    const auto capacity = server.registration.slots + static_cast<std::int32_t>(server.spare_window);
+    const auto capacity = most_at_once(state, server, now) + static_cast<std::int32_t>(server.spare_window);
+    // Only the owner of a key can serve it, so keeping work away from it would help no caller.
+    if (!divided_by_key(state, server.registration.service) &&
+        server.outstanding + server.peers_outstanding >= server.backoff.limit(now)) {
+        return false;
+    }
     if (server.outstanding + server.peers_outstanding >= std::max(1, capacity)) {
         return false;
     }
     // Requests from other data centres are known only from the load reports of the server itself.
     const bool remote_load_unknown = state.instances.size() > small_deployment;
-    if (remote_load_unknown && reported_requests(server, static_cast<double>(usual_time(state, server).count()), now) >=
-                                   std::max(1, capacity)) {
+    if (remote_load_unknown && reported_requests(server, static_cast<double>(usual_time(state, server, now).count()),
+                                                 now) >= std::max(1, capacity)) {
         return false;
     }
     return state.instances.size() <= 1 || !state.peers.empty() || server.outstanding < outstanding_without_peers;
@@ -322,8 +396,8 @@
 }
 
 std::chrono::microseconds expected_time(const state& state, const server_record& server, base::boot_time now) {
-    const double slots = std::max(1, server.registration.slots);
-    double service = static_cast<double>(usual_time(state, server).count());
+    const double slots = most_at_once(state, server, now);
+    double service = static_cast<double>(usual_time(state, server, now).count());
     // A load report counts less the older it is, because the server has worked on its queue since.
     const auto age = now - server.load_at;
     if (age < report_age) {
@@ -338,21 +412,45 @@
 }
 
 std::chrono::microseconds usual_time(const state& state, const server_record& server) {
-    if (server.service_time_known) {
-        return server.service_time;
-    }
-    const auto service = state.services.find(server.registration.service);
-    return service == state.services.end() ? assumed_service_time : service->second.service_time;
+    return server.capacity.known() ? server.capacity.recent() : usual_time_of(state, server.registration.service);
 }
 
-void note_service_time(state& state, server_record& server, std::chrono::microseconds observed,
-                       std::int32_t observations) {
-    server.service_time = mean_after(usual_time(state, server), observed, average_weight, observations);
-    server.service_time_known = true;
-    auto& service = state.services[server.registration.service];
+std::chrono::microseconds usual_time(const state& state, const server_record& server, base::boot_time now) {
+    return learns_capacity(state) ? server.capacity.time(now, usual_time_of(state, server.registration.service))
+                                  : usual_time(state, server);
+}
+
+bool learns_capacity(const state& state) {
+    return state.learns_capacity && state.instances.size() > small_deployment;
+}
+
+void note_reported_time(step& step, server_record& server, std::chrono::microseconds observed,
+                        std::int32_t observations) {
+    auto& service = step.state.services[server.registration.service];
+    if (learns_capacity(step.state)) {
+        server.capacity.learn_reported(step.now, observed, observations, service.service_time);
+    } else {
+        server.capacity.average(observed, observations, service.service_time);
+    }
     service.service_time = mean_after(service.service_time, observed, service_average_weight, observations);
 }
 
+std::int32_t most_at_once(const state& state, const server_record& server, base::boot_time now) {
+    const auto slots = std::max(1, server.registration.slots);
+    return learns_capacity(state) ? server.capacity.limit(now, slots) : slots;
+}
+
+double throughput(const state& state, const server_record& server, base::boot_time now) {
+    const auto time = std::chrono::duration<double>(usual_time(state, server, now)).count();
+    return most_at_once(state, server, now) * (1.0 - server.backoff.share()) / std::max(1e-6, time);
+}
+
+double slowdown(const state& state, const server_record& server, std::int32_t others, base::boot_time now) {
+    const auto slots = std::max(1, server.registration.slots);
+    const auto learned = learns_capacity(state) ? server.capacity.slowdown(now, others + 1, slots) : std::nullopt;
+    return learned.value_or(1.0 + busy_slot_share * others / slots);
+}
+
 void record_outcome(step& step, server_record& server, const attempt_ended& event, std::chrono::microseconds elapsed) {
     if (event.load) {
         server.load = *event.load;
@@ -364,23 +462,25 @@
                      event.outcome == attempt_outcome::invalid_answer || event.outcome == attempt_outcome::cut_short;
     if (good || bad || event.outcome == attempt_outcome::not_run) {
         server.failing += average_weight * ((good ? 0.0 : 1.0) - server.failing);
+        note_backoff(step, server, event, good, elapsed);
     }
     if (good) {
         ++server.answers;
         server.failures_in_row = 0;
         server.spare_window = std::min(largest_spare_window, server.spare_window + window_growth);
-        // Without a queue at the server, the whole elapsed time is service time.
-        if (event.load && event.load->waiting == 0) {
-            const std::chrono::microseconds usual(elapsed.count() * 100 / std::max(10, event.load->slowness));
-            note_service_time(step.state, server, usual, 1);
-            for (auto* const times : {&server.times_for_peers, &server.times_for_keeper}) {
-                ++times->count;
-                times->sum += usual;
-            }
+        // Without a queue at the server, the whole elapsed time is service time. An error may come without any work.
+        const bool shows_work = event.status < 400 || !learns_capacity(step.state);
+        if (event.load && event.load->waiting == 0 && shows_work) {
+            note_work(step, server, event, elapsed);
         }
         return;
     }
-    if (event.outcome == attempt_outcome::not_run || event.outcome == attempt_outcome::connection_lost) {
+    // The owner of a key that rejects requests although it has room may take the next one at once.
+    const bool waiting_helps = !learns_capacity(step.state) || was_full(server, event) ||
+                               event.outcome != attempt_outcome::not_run ||
+                               !divided_by_key(step.state, server.registration.service);
+    if (waiting_helps &&
+        (event.outcome == attempt_outcome::not_run || event.outcome == attempt_outcome::connection_lost)) {
         server.spare_window = std::max(smallest_spare_window, server.spare_window - 1);
         server.paused_until = std::max(server.paused_until, step.now + full_server_pause);
     }
--- a/source/routing/servers.hpp
+++ b/source/routing/servers.hpp
@@ -59,13 +59,31 @@
 [[nodiscard]] std::chrono::microseconds expected_time(const state& state, const server_record& server,
                                                       base::boot_time now);
 
-/// Updates the average service times of the server and its service. `observed` is the mean duration of work at the
-/// server's usual speed.
-void note_service_time(state& state, server_record& server, std::chrono::microseconds observed,
-                       std::int32_t observations);
+/// Whether what the servers take well is learned from their answers. Where few instances share few servers, each sees
+/// too few answers of a server for more than a moving average.
+[[nodiscard]] bool learns_capacity(const state& state);
 
-/// Average time of one request at the server without queueing; the service's average until the server has one.
+/// Updates the times of the server and its service by what another instance has reported. `observed` is the mean
+/// duration of work at the server's usual speed.
+void note_reported_time(step& step, server_record& server, std::chrono::microseconds observed,
+                        std::int32_t observations);
+
+/// Average time of one request at the server without queueing, at its usual speed; the service's average until the
+/// server has one.
 [[nodiscard]] std::chrono::microseconds usual_time(const state& state, const server_record& server);
+/// The same for a request that is sent now; what was learned long ago has aged.
+[[nodiscard]] std::chrono::microseconds usual_time(const state& state, const server_record& server,
+                                                   base::boot_time now);
+
+/// Requests that the server takes well at once: at most its registered slots.
+[[nodiscard]] std::int32_t most_at_once(const state& state, const server_record& server, base::boot_time now);
+
+/// Requests per second that the server takes well. Those that it is expected to reject or fail are not counted.
+[[nodiscard]] double throughput(const state& state, const server_record& server, base::boot_time now);
+
+/// Factor by which a request takes longer because of `others` other requests in progress at the server.
+[[nodiscard]] double slowdown(const state& state, const server_record& server, std::int32_t others,
+                              base::boot_time now);
 
 /// Updates the statistics, window and pauses of a server after an attempt.
 void record_outcome(step& step, server_record& server, const attempt_ended& event, std::chrono::microseconds elapsed);
--- a/source/routing/started_answers.cpp
+++ b/source/routing/started_answers.cpp
@@ -23,6 +23,7 @@
         return;
     }
     exchange->forwarding = true;
+    exchange->forwarding_since = step.now;
     exchange->answer_reported_at = step.now;
     step.state.deadlines.erase({exchange->expires_at, event.exchange});
     // The silence at the deadline is counted from the check before it.
--- a/source/routing/state.hpp
+++ b/source/routing/state.hpp
@@ -14,6 +14,8 @@
 #include <vector>
 
 #include "base/boot_time.hpp"
+#include "capacity/backoff.hpp"
+#include "capacity/estimate.hpp"
 #include "model/ids.hpp"
 #include "routing/assignment.hpp"
 #include "routing/catalogue.hpp"
@@ -73,10 +75,10 @@
     base::boot_time paused_until;
     std::int32_t failures_in_row = 0;
 
-    /// Time of one request without queueing, at the server's usual speed; the service's average until one was observed
-    /// here.
-    std::chrono::microseconds service_time = assumed_service_time;
-    bool service_time_known = false;
+    /// What the server takes well, by its answers here and those that other instances report.
+    capacity::estimate capacity;
+    /// Rejections and failures that a lack of room at the server does not explain.
+    capacity::backoff backoff;
     /// Share of the last requests that failed.
     double failing = 0;
     reported_load load;
@@ -173,6 +175,8 @@
     bool sending = false;
     /// A part of the server's answer has gone to the caller.
     bool forwarding = false;
+    /// When the answer began to be forwarded.
+    base::boot_time forwarding_since;
     /// When the progress of a started answer is checked next, when it was last reported, and the bytes of its body at
     /// that time.
     base::boot_time answer_check_at;
@@ -558,6 +562,8 @@
     quarantine_state quarantine;
     /// In a large deployment, dispatchers give out the slots of backend servers.
     bool uses_dispatchers = true;
+    /// In a large deployment, what each backend server takes well is learned from its answers.
+    bool learns_capacity = true;
     std::uint64_t last_attempt = 0;
     /// When refusals of requests without a valid key may be logged next, and those since the last line.
     base::boot_time next_unauthenticated_log;
--- a/tests/routing/knowledge_test.cpp
+++ b/tests/routing/knowledge_test.cpp
@@ -218,7 +218,7 @@
     auto keeper = instance_of("north", 0);
     process_event(keeper, now, backend_server_updated{server});
     process_event(keeper, now, to_keeper->load);
-    REQUIRE(keeper.servers.at(server.id).service_time > assumed_service_time);
+    REQUIRE(keeper.servers.at(server.id).capacity.recent() > assumed_service_time);
     REQUIRE(keeper.services.at(keyed_service).samples.size() == 1);
 }
 
--- a/tests/routing/load_play.hpp
+++ b/tests/routing/load_play.hpp
@@ -33,6 +33,8 @@
         /// Requests per second over all instances.
         double rate = 320;
         bool uses_dispatchers = true;
+        bool learns_capacity = true;
+        std::int32_t slots = 2;
         /// Share of the messages between instances that get lost.
         double lost_messages = 0.01;
         std::uint64_t seed = 1;
@@ -90,6 +92,10 @@
         instances_[index(instance)]->frozen_until = now_ + time;
     }
     void set_work(int server, std::chrono::microseconds work) { servers_[index(server)].work = work; }
+    /// From now on each request takes longer by the square of the requests in progress above `most`; 0 for no limit.
+    void set_most_at_once(int server, int most) { servers_[index(server)].most_at_once = most; }
+    /// From now on the server rejects this share of its requests, however many it has.
+    void set_rejecting(int server, double share) { servers_[index(server)].rejecting = share; }
 
     /// From now on the server says in its answers that it leaves.
     void say_leaving(int server) { servers_[index(server)].leaves = true; }
@@ -117,6 +123,8 @@
     struct simulated_server {
         backend_server registration;
         std::chrono::microseconds work{0};
+        int most_at_once = 0;
+        double rejecting = 0;
         int running = 0;
         std::vector<std::function<void()>> waiting;
         bool leaves = false;
@@ -149,6 +157,7 @@
                                                           model::data_centre_id(data_centre), 1, 200},
                                                  random_()));
         instances_.back()->state.uses_dispatchers = plan_.uses_dispatchers;
+        instances_.back()->state.learns_capacity = plan_.learns_capacity;
         asked_.push_back(0);
     }
 
@@ -170,6 +179,7 @@
                 simulated_server server;
                 server.registration = server_of("book-" + std::to_string(number), service_);
                 server.registration.data_centre = model::data_centre_id(number % 2 == 0 ? "north" : "south");
+                server.registration.slots = plan_.slots;
                 server.work = plan_.work;
                 servers_.push_back(std::move(server));
             }
@@ -324,6 +334,14 @@
                           network_delay);
             return;
         }
+        if (server.rejecting > 0 && fraction() < server.rejecting) {
+            ++results_.rejected_by_servers;
+            const reported_load load{server.running, 0, server.registration.slots, 100};
+            deliver_later(instance,
+                          attempt_ended{effect.exchange, effect.attempt, attempt_outcome::not_run, 503, false, load},
+                          network_delay);
+            return;
+        }
         if (server.running >= server.registration.slots && server.waiting.size() >= server_queue) {
             ++results_.rejected_by_servers;
             deliver_later(
@@ -334,7 +352,10 @@
         }
         const auto begin = [this, &instance, &server, effect] {
             ++server.running;
-            const auto work = server.work / 2 + server.work * static_cast<std::int64_t>(random_() % 1000) / 1000;
+            auto work = server.work / 2 + server.work * static_cast<std::int64_t>(random_() % 1000) / 1000;
+            if (server.most_at_once > 0 && server.running > server.most_at_once) {
+                work = work * server.running * server.running / (server.most_at_once * server.most_at_once);
+            }
             at(work, [this, &instance, &server, effect] {
                 --server.running;
                 const reported_load load{server.running, static_cast<std::int32_t>(server.waiting.size()),
