--- a/source/capacity/estimate.cpp
+++ b/source/capacity/estimate.cpp
@@ -132,7 +132,8 @@
 
 void estimate::lower_limit(base::boot_time now, std::int32_t slots) {
     const auto rate = [&](std::int32_t number) {
-        return most_of(number, slots) / std::max(1.0F, bands_[static_cast<std::size_t>(number)].mean);
+        return static_cast<float>(most_of(number, slots)) /
+               std::max(1.0F, bands_[static_cast<std::size_t>(number)].mean);
     };
     const auto last = band_of(slots, slots);
     auto best = -1;
