capacity: owners of keys keep their registered slots

Cause: an owner of two slots that is slow and always full had its limit lowered to one for some seconds, to see whether it is slow because it is full. Nobody else can serve its keys, so half of its room was lost. Change: the learned limit holds for services without keys only, as the backoff does already.

--- a/source/routing/servers.cpp
+++ b/source/routing/servers.cpp
@@ -437,7 +437,11 @@
 
 std::int32_t most_at_once(const state& state, const server_record& server, base::boot_time now) {
     const auto slots = std::max(1, server.registration.slots);
-    return learns_capacity(state) ? server.capacity.limit(now, slots) : slots;
+    // A slot that the owner of a key leaves unused is lost to callers that nobody else can serve.
+    if (!learns_capacity(state) || divided_by_key(state, server.registration.service)) {
+        return slots;
+    }
+    return server.capacity.limit(now, slots);
 }
 
 double throughput(const state& state, const server_record& server, base::boot_time now) {
