--- a/review/standins-2/case10.cpp
+++ b/review/standins-2/case10.cpp
@@ -73,11 +73,12 @@
         if (cut_) {
             return;
         }
-        store_.put("servers", id_,
-                   "{\"address\":\"127.0.0.1:" + std::to_string(port_) + "\",\"born\":" + std::to_string(born_) +
-                       ",\"info\":{\"service\":\"board\",\"version\":\"1\",\"zone\":\"a\",\"slots\":2},\"status\":{\"state\":"
-                       "\"ready\",\"seq\":" +
-                       std::to_string(++sequence_) + ",\"cold_remaining_ms\":0}}");
+        store_.put(
+            "servers", id_,
+            "{\"address\":\"127.0.0.1:" + std::to_string(port_) + "\",\"born\":" + std::to_string(born_) +
+                ",\"info\":{\"service\":\"board\",\"version\":\"1\",\"zone\":\"a\",\"slots\":2},\"status\":{\"state\":"
+                "\"ready\",\"seq\":" +
+                std::to_string(++sequence_) + ",\"cold_remaining_ms\":0}}");
     }
 
     struct holding {
@@ -105,7 +106,8 @@
         const auto target = static_cast<std::uint32_t>(number_in(request.body, "target"));
         const auto fence = static_cast<std::uint64_t>(number_in(request.body, "fence"));
         if (request.target() == "/v1/grant") {
-            return answer_text(grant(state, from, target, fence, number_in(request.body, "hold_ms")) ? 200 : 409, "", "");
+            return answer_text(grant(state, from, target, fence, number_in(request.body, "hold_ms")) ? 200 : 409, "",
+                               "");
         }
         if (request.target() == "/v1/release") {
             const std::lock_guard lock(state.mutex);
@@ -147,8 +149,8 @@
         }
         if (other) {
             ++taken_again;
-            RECORD("%s takes keys %u to %u with number %llu; %s had key %u with number %llu", state.life.c_str(), from, target,
-                   static_cast<unsigned long long>(fence), other->second.life.c_str(), other->first,
+            RECORD("%s takes keys %u to %u with number %llu; %s had key %u with number %llu", state.life.c_str(), from,
+                   target, static_cast<unsigned long long>(fence), other->second.life.c_str(), other->first,
                    static_cast<unsigned long long>(other->second.fence));
         }
         return true;
@@ -201,7 +203,8 @@
             for (int at = 0; !stop; ++at) {
                 const int descriptor = connect_to(instances[static_cast<std::size_t>(number % 2)]->front());
                 send_all(descriptor, "GET /carts/1 HTTP/1.1\r\nHost: h.example\r\nLovagetack-Request-Id: q" +
-                                         std::to_string(number) + "-" + std::to_string(at) + "\r\nLovagetack-Shard-Key: " +
+                                         std::to_string(number) + "-" + std::to_string(at) +
+                                         "\r\nLovagetack-Shard-Key: " +
                                          std::to_string((at * 7919 + number * 104729) % static_cast<int>(key_count)) +
                                          "\r\nLovagetack-Deadline-Ms: 2000\r\n\r\n");
                 reader in(descriptor);
--- a/review/standins-2/case7.cpp
+++ b/review/standins-2/case7.cpp
@@ -26,8 +26,8 @@
     ::setrlimit(RLIMIT_NOFILE, &descriptors);
     store provider;
     provider.put("op", "config",
-                 configuration(1, route("orders", "/orders/", "ledger", "unsafe", 2500, 1500), service("ledger"), 67108864,
-                               15000));
+                 configuration(1, route("orders", "/orders/", "ledger", "unsafe", 2500, 1500), service("ledger"),
+                               67108864, 15000));
     std::vector<std::unique_ptr<endpoint>> ledger;
     for (int number = 0; number < 9; ++number) {
         ledger.push_back(std::make_unique<endpoint>(provider, "i-l" + std::to_string(number), "ledger", "a", 2,
@@ -65,9 +65,10 @@
                     if (descriptor < 0) {
                         continue;
                     }
-                    send_all(descriptor, "POST /orders/1 HTTP/1.1\r\nHost: h.example\r\nLovagetack-Request-Id: " + prefix +
-                                             std::to_string(number) +
-                                             "\r\nLovagetack-Deadline-Ms: 2500\r\nTransfer-Encoding: chunked\r\n\r\n" + body);
+                    send_all(descriptor,
+                             "POST /orders/1 HTTP/1.1\r\nHost: h.example\r\nLovagetack-Request-Id: " + prefix +
+                                 std::to_string(number) +
+                                 "\r\nLovagetack-Deadline-Ms: 2500\r\nTransfer-Encoding: chunked\r\n\r\n" + body);
                     if (trouble()) {
                         const std::lock_guard lock(mutex);
                         open.push_back(descriptor);
--- a/review/standins-2/case8.cpp
+++ b/review/standins-2/case8.cpp
@@ -48,7 +48,8 @@
         counts.answered_by_half_second_later += answer ? 1 : 0;
     }
     RECORD("request %s: %s after %lld ms", id.c_str(),
-           answer ? ("answered " + std::to_string(answer->status())).c_str() : "no answer", static_cast<long long>(taken));
+           answer ? ("answered " + std::to_string(answer->status())).c_str() : "no answer",
+           static_cast<long long>(taken));
     ::close(descriptor);
 }
 
@@ -67,8 +68,8 @@
     const pid_t collector = start_collector(log[0]);
     store provider;
     provider.put("op", "config",
-                 configuration(1, route("carts", "/carts/", "board", "safe", timeout_ms, 500), service("board"), 67108864,
-                               15000));
+                 configuration(1, route("carts", "/carts/", "board", "safe", timeout_ms, 500), service("board"),
+                               67108864, 15000));
     std::vector<std::unique_ptr<endpoint>> board;
     for (int number = 0; number < 8; ++number) {
         board.push_back(std::make_unique<endpoint>(provider, "i-b" + std::to_string(number), "board", "a", 2,
@@ -117,7 +118,8 @@
         caller.join();
     }
     const bool ready = instance.answers_ready(1s);
-    RECORD("readiness answered within 1 s: %s; process alive: %s", ready ? "yes" : "no", instance.ended() ? "no" : "yes");
+    RECORD("readiness answered within 1 s: %s; process alive: %s", ready ? "yes" : "no",
+           instance.ended() ? "no" : "yes");
     ::kill(collector, SIGCONT);
     std::this_thread::sleep_for(1s);
     RECORD("after the collector went on: readiness answered: %s", instance.answers_ready(1s) ? "yes" : "no");
@@ -126,7 +128,8 @@
     ::waitpid(collector, nullptr, 0);
     const int late = counts.at_timeout;
     const int answered = counts.answered_by_half_second_later;
-    RECORD("requests %d, answered by their route's timeout %d, unanswered then %d, of which answered half a second later %d",
+    RECORD("requests %d, answered by their route's timeout %d, unanswered then %d, of which answered half a second "
+           "later %d",
            sent, counts.answered_in_time.load(), late, answered);
     const bool broken = late > 0 && 2 * (late - answered) > late;
     RECORD("CONFIG (of the requests unanswered at timeout_ms, more than half have no answer half a second later): %s",
--- a/review/standins-2/case9.cpp
+++ b/review/standins-2/case9.cpp
@@ -17,8 +17,8 @@
     const int descriptor = connect_to(port, 16384);
     std::string requests;
     for (int count = 0; count < requests_of_slow_reader; ++count) {
-        requests += "GET /carts/1 HTTP/1.1\r\nHost: h.example\r\nLovagetack-Request-Id: s" + std::to_string(number) + "-" +
-                    std::to_string(count) + "\r\nLovagetack-Deadline-Ms: 2000\r\n\r\n";
+        requests += "GET /carts/1 HTTP/1.1\r\nHost: h.example\r\nLovagetack-Request-Id: s" + std::to_string(number) +
+                    "-" + std::to_string(count) + "\r\nLovagetack-Deadline-Ms: 2000\r\n\r\n";
     }
     send_all(descriptor, requests);
     std::vector<char> bytes(65536);
@@ -48,8 +48,8 @@
 };
 
 /// Sends two safe requests, the second before the first is answered, on a kept connection.
-void call(int port, int number, const std::atomic<bool>& stop, const std::function<bool(const std::string&)>& was_passed_on,
-          counts& result) {
+void call(int port, int number, const std::atomic<bool>& stop,
+          const std::function<bool(const std::string&)>& was_passed_on, counts& result) {
     int count = 0;
     while (!stop) {
         const int descriptor = connect_to(port);
@@ -80,8 +80,11 @@
                 // The second of the two isn't passed on before the first is answered.
                 if (was_passed_on(id)) {
                     ++(kept ? result.lost : result.lost_on_new_connection);
-                    RECORD("request %s was run by its endpoint, and its %s connection was %s without an answer", id.c_str(),
-                           kept ? "kept" : "new", answers.was_reset() ? "reset" : answers.ended() ? "closed" : "left open");
+                    RECORD("request %s was run by its endpoint, and its %s connection was %s without an answer",
+                           id.c_str(), kept ? "kept" : "new",
+                           answers.was_reset() ? "reset"
+                           : answers.ended()   ? "closed"
+                                               : "left open");
                 }
                 open = false;
             }
@@ -159,9 +162,10 @@
     const bool alive = !instance.ended();
     instance.end();
     RECORD("instance alive: %s, highest resident memory %ld KiB of %d", alive ? "yes" : "no", peak, 260 * 1024);
-    RECORD("requests of ordinary callers: answered %d, refused or failed with an answer %d, run without an answer %d on "
-           "kept and %d on new connections",
-           result.answered.load(), result.refused.load(), result.lost.load(), result.lost_on_new_connection.load());
+    RECORD(
+        "requests of ordinary callers: answered %d, refused or failed with an answer %d, run without an answer %d on "
+        "kept and %d on new connections",
+        result.answered.load(), result.refused.load(), result.lost.load(), result.lost_on_new_connection.load());
     const bool broken = result.lost > 3;
     RECORD("LOST (more than three requests of kept connections passed on, then closed without an answer): %s",
            broken ? "broken" : "held");
--- a/review/standins-2/kit.hpp
+++ b/review/standins-2/kit.hpp
@@ -1,5 +1,5 @@
-// Small stand-ins of the platform for the cases of this review: the metadata store, endpoints, the operator, clients and
-// the start of the project's own processes. Threads and blocking sockets on loopback addresses; no dependency.
+// Small stand-ins of the platform for the cases of this review: the metadata store, endpoints, the operator, clients
+// and the start of the project's own processes. Threads and blocking sockets on loopback addresses; no dependency.
 #pragma once
 
 #include <arpa/inet.h>
@@ -117,16 +117,24 @@
     return made;
 }
 
+/// A port that nobody uses, below those that the system gives to outgoing connections; another one with each call.
 inline int free_port(int type = SOCK_STREAM) {
-    const int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    socklen_t size = sizeof address;
-    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(descriptor);
-    return ntohs(address.sin_port);
+    static std::set<int> given;
+    static unsigned next = static_cast<unsigned>(::getpid()) * 37U + static_cast<unsigned>(unix_ms() % 7919);
+    for (int tries = 0; tries < 4000; ++tries) {
+        const int port = 20000 + static_cast<int>(next++ % 12000U);
+        const int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool is_free = ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+        ::close(descriptor);
+        if (is_free && given.insert(port).second) {
+            return port;
+        }
+    }
+    cannot_run("no free port");
 }
 
 inline int connect_to(int port, int receive_buffer = 0) {
@@ -180,9 +188,7 @@
         const auto found = header.find(name);
         return found == header.end() ? "" : found->second;
     }
-    [[nodiscard]] int status() const {
-        return first_line.size() > 12 ? std::atoi(first_line.c_str() + 9) : 0;
-    }
+    [[nodiscard]] int status() const { return first_line.size() > 12 ? std::atoi(first_line.c_str() + 9) : 0; }
     [[nodiscard]] std::string method() const { return first_line.substr(0, first_line.find(' ')); }
     [[nodiscard]] std::string target() const {
         const auto begin = first_line.find(' ') + 1;
@@ -222,7 +228,7 @@
             std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
             auto value = line.substr(colon + 1);
             value.erase(0, value.find_first_not_of(' ') == std::string::npos ? value.size()
-                                                                              : value.find_first_not_of(' '));
+                                                                             : value.find_first_not_of(' '));
             made.header[name] = value;
         }
         if (head_only) {
@@ -363,8 +369,8 @@
 };
 
 inline std::string answer_text(int status, const std::string& fields, const std::string& body) {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
 }
 
 // ------------------------------------------------------------------------------------------------ store
@@ -390,11 +396,16 @@
     int count = 0;
     for (const char c : text) {
         int value = -1;
-        if (c >= 'A' && c <= 'Z') value = c - 'A';
-        else if (c >= 'a' && c <= 'z') value = c - 'a' + 26;
-        else if (c >= '0' && c <= '9') value = c - '0' + 52;
-        else if (c == '+') value = 62;
-        else if (c == '/') value = 63;
+        if (c >= 'A' && c <= 'Z')
+            value = c - 'A';
+        else if (c >= 'a' && c <= 'z')
+            value = c - 'a' + 26;
+        else if (c >= '0' && c <= '9')
+            value = c - '0' + 52;
+        else if (c == '+')
+            value = 62;
+        else if (c == '/')
+            value = 63;
         if (value < 0) {
             continue;
         }
@@ -528,8 +539,8 @@
         const auto found = rows_.find(id);
         std::string text = "{\"table\":\"" + id.first + "\",\"part\":\"\",\"key\":\"" + id.second + "\"";
         if (found != rows_.end()) {
-            text += ",\"value\":\"" + base64(found->second.value) + "\",\"ver\":" +
-                    std::to_string(found->second.version);
+            text +=
+                ",\"value\":\"" + base64(found->second.value) + "\",\"ver\":" + std::to_string(found->second.version);
         } else {
             text += ",\"ver\":0";
         }
@@ -661,10 +672,11 @@
     }
     void publish(const std::string& state) {
         store_.put("servers", id_,
-                   "{\"address\":\"127.0.0.1:" + std::to_string(server_.port()) + "\",\"born\":" +
-                       std::to_string(born_) + ",\"info\":{\"service\":\"" + service_ + "\",\"version\":\"1\",\"zone\":\"" +
-                       zone_ + "\",\"slots\":" + std::to_string(slots_) + "},\"status\":{\"state\":\"" + state +
-                       "\",\"seq\":" + std::to_string(++sequence_) + ",\"cold_remaining_ms\":0}}");
+                   "{\"address\":\"127.0.0.1:" + std::to_string(server_.port()) +
+                       "\",\"born\":" + std::to_string(born_) + ",\"info\":{\"service\":\"" + service_ +
+                       "\",\"version\":\"1\",\"zone\":\"" + zone_ + "\",\"slots\":" + std::to_string(slots_) +
+                       "},\"status\":{\"state\":\"" + state + "\",\"seq\":" + std::to_string(++sequence_) +
+                       ",\"cold_remaining_ms\":0}}");
     }
     [[nodiscard]] const std::string& id() const { return id_; }
     [[nodiscard]] int port() const { return server_.port(); }
@@ -738,20 +750,21 @@
         file_ = folder + "/" + settings.node + ".json";
         log_ = folder + "/" + settings.node + ".log";
         internal_ = free_port(SOCK_DGRAM);
-        std::ofstream(file_) << "{\"node\":\"" << settings.node << "\",\"role\":\"gateway\",\"machine_class\":\"front\","
-                             << "\"serves\":[\"front\"],\"ip\":\"127.0.0.1\",\"zone\":\"" << settings.zone
-                             << "\",\"region\":\"r\",\"zones\":{\"a\":\"r\",\"b\":\"r\",\"c\":\"r\"},\"listen\":{\"front\":"
-                             << "\"127.0.0.1:" << front_ << "\",\"ready\":\"127.0.0.1:" << ready_
-                             << "\"},\"internal_ports\":[" << internal_ << "," << internal_ + 15
-                             << "],\"seeds\":[],\"bootstrap\":true,\"limits\":{\"cpu_share\":0.2,\"cores\":1,\"memory_mb\":"
-                             << settings.memory_mb << ",\"max_fds\":" << settings.descriptors
-                             << ",\"link_mbps\":1000.0,\"disk_mb\":0},\"data_dir\":null,\"discovery\":\"platform\","
-                             << "\"entry\":\"vip\",\"heartbeat_ms\":870,\"contracts\":[\"base\",\"drain\",\"config\",\"own\","
-                             << "\"platform\"],\"bounds\":{\"contact_ms\":3000,\"drain_ms\":2000,\"grace_s\":"
-                             << settings.grace_s << ",\"config_apply_ms\":2000},\"grants\":\"call\",\"provider\":{"
-                             << "\"address\":\"127.0.0.1:" << settings.store_port
-                             << "\",\"form\":\"table\",\"writes_per_s\":400,\"reads_per_s\":2000,\"row_bytes\":65536,"
-                             << "\"across\":false,\"history_s\":20}}";
+        std::ofstream(file_)
+            << "{\"node\":\"" << settings.node << "\",\"role\":\"gateway\",\"machine_class\":\"front\","
+            << "\"serves\":[\"front\"],\"ip\":\"127.0.0.1\",\"zone\":\"" << settings.zone
+            << "\",\"region\":\"r\",\"zones\":{\"a\":\"r\",\"b\":\"r\",\"c\":\"r\"},\"listen\":{\"front\":"
+            << "\"127.0.0.1:" << front_ << "\",\"ready\":\"127.0.0.1:" << ready_ << "\"},\"internal_ports\":["
+            << internal_ << "," << internal_ + 15
+            << "],\"seeds\":[],\"bootstrap\":true,\"limits\":{\"cpu_share\":0.2,\"cores\":1,\"memory_mb\":"
+            << settings.memory_mb << ",\"max_fds\":" << settings.descriptors
+            << ",\"link_mbps\":1000.0,\"disk_mb\":0},\"data_dir\":null,\"discovery\":\"platform\","
+            << "\"entry\":\"vip\",\"heartbeat_ms\":870,\"contracts\":[\"base\",\"drain\",\"config\",\"own\","
+            << "\"platform\"],\"bounds\":{\"contact_ms\":3000,\"drain_ms\":2000,\"grace_s\":" << settings.grace_s
+            << ",\"config_apply_ms\":2000},\"grants\":\"call\",\"provider\":{"
+            << "\"address\":\"127.0.0.1:" << settings.store_port
+            << "\",\"form\":\"table\",\"writes_per_s\":400,\"reads_per_s\":2000,\"row_bytes\":65536,"
+            << "\"across\":false,\"history_s\":20}}";
         start();
     }
     gateway(const gateway&) = delete;
@@ -765,9 +778,8 @@
             // Ends with the test, whatever ends that.
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             ::setenv("LOVAGETACK_SETTINGS", file_.c_str(), 1);
-            const int out = settings_.log_descriptor >= 0
-                                ? settings_.log_descriptor
-                                : ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+            const int out = settings_.log_descriptor >= 0 ? settings_.log_descriptor
+                                                          : ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
             if (::chdir(root_.c_str()) == 0) {
@@ -877,8 +889,10 @@
 }
 
 inline std::string service(const std::string& name, bool sharded = false) {
-    return "{\"name\":\"" + name + "\",\"health_path\":\"/health\",\"max_conns\":110,\"cold_period_s\":3,"
-           "\"cold_per_s\":3.6,\"sharded\":" + (sharded ? "true" : "false") + "}";
+    return "{\"name\":\"" + name +
+           "\",\"health_path\":\"/health\",\"max_conns\":110,\"cold_period_s\":3,"
+           "\"cold_per_s\":3.6,\"sharded\":" +
+           (sharded ? "true" : "false") + "}";
 }
 
 inline std::string configuration(int version, const std::string& routes, const std::string& services,
--- a/review/standins-2/memory_case.hpp
+++ b/review/standins-2/memory_case.hpp
@@ -64,8 +64,9 @@
                 kept = false;
             }
             const auto id = name_ + "-o" + std::to_string(number) + "-" + std::to_string(count);
-            const bool sent = send_all(descriptor, "POST /orders/1 HTTP/1.1\r\nHost: h.example\r\nLovagetack-Request-Id: " +
-                                                       id + "\r\nLovagetack-Deadline-Ms: 2500\r\nContent-Length: 5\r\n\r\norder");
+            const bool sent =
+                send_all(descriptor, "POST /orders/1 HTTP/1.1\r\nHost: h.example\r\nLovagetack-Request-Id: " + id +
+                                         "\r\nLovagetack-Deadline-Ms: 2500\r\nContent-Length: 5\r\n\r\norder");
             const auto answer = sent ? answers->read(clock::now() + 3s, true) : std::nullopt;
             if (answer && answer->complete) {
                 ++answered_;
@@ -76,8 +77,8 @@
                 }
             } else if (was_passed_on(id)) {
                 lost_ += kept ? 1 : 0;
-                RECORD("%s: order %s was run by its endpoint, and its %s connection ended without an answer", name_.c_str(),
-                       id.c_str(), kept ? "kept" : "new");
+                RECORD("%s: order %s was run by its endpoint, and its %s connection ended without an answer",
+                       name_.c_str(), id.c_str(), kept ? "kept" : "new");
             }
             ::close(descriptor);
             descriptor = -1;
@@ -144,15 +145,17 @@
     int ended_often = 0;
     bool lost = false;
     for (const auto& instance : instances) {
-        RECORD("%s: ended %d times over its memory; highest anonymous memory %ld KiB of %d; ordinary orders answered %d, "
-               "run without an answer on kept connections %d",
-               instance->name().c_str(), instance->ends(), instance->peak_kib(), memory_mb * 1024, instance->answered(),
-               instance->lost());
+        RECORD(
+            "%s: ended %d times over its memory; highest anonymous memory %ld KiB of %d; ordinary orders answered %d, "
+            "run without an answer on kept connections %d",
+            instance->name().c_str(), instance->ends(), instance->peak_kib(), memory_mb * 1024, instance->answered(),
+            instance->lost());
         ended_often += instance->ends() >= rounds ? 1 : 0;
         lost = lost || instance->lost() > 3;
     }
     const bool broken = ended_often >= 2;
-    RECORD("Fault (two machines or more on which processes end by themselves three times): %s", broken ? "broken" : "held");
+    RECORD("Fault (two machines or more on which processes end by themselves three times): %s",
+           broken ? "broken" : "held");
     RECORD("LOST (more than three orders of kept connections passed on, then closed without an answer): %s",
            lost ? "broken" : "held");
     for (const auto& instance : instances) {
