--- a/review/standins-2/case10.cpp
+++ b/review/standins-2/case10.cpp
@@ -65,6 +65,8 @@
         // Each life has its own state, which goes with its server.
         auto state = std::make_shared<holding>();
         state->life = life();
+        // The threads of a stopped server may still use it.
+        stopped_.push_back(std::move(server_));
         server_ = std::make_unique<tcp_server>([this, state](int descriptor) { serve(descriptor, *state); }, port_);
         port_ = server_->port();
     }
@@ -165,6 +167,7 @@
     std::atomic<bool> cut_ = false;
     std::mutex publish_mutex_;
     std::unique_ptr<tcp_server> server_;
+    std::vector<std::unique_ptr<tcp_server>> stopped_;
 };
 
 } // namespace
