--- a/review/standins-2/case7.cpp
+++ b/review/standins-2/case7.cpp
@@ -7,6 +7,8 @@
 
 constexpr int callers_of_round = 2800;
 constexpr std::size_t body_bytes = 60000;
+/// What all callers of an instance together send, a third of its link (link_mbps 1,000), so that no packet waits there.
+constexpr std::size_t bytes_a_second = 40'000'000;
 /// How long the unfinished bodies stay open; below the idle time.
 constexpr auto open_time = 6s;
 
@@ -53,6 +55,7 @@
         std::vector<int> open;
         std::map<int, int> statuses;
         std::atomic<int> next = 0;
+        const auto begun = clock::now();
         std::vector<std::thread> threads;
         for (int thread = 0; thread < 16; ++thread) {
             threads.emplace_back([&] {
@@ -61,6 +64,10 @@
                     if (number >= callers_of_round) {
                         return;
                     }
+                    std::this_thread::sleep_until(
+                        begun + std::chrono::microseconds(static_cast<std::int64_t>(number) *
+                                                          static_cast<std::int64_t>(body_bytes) * 1'000'000 /
+                                                          static_cast<std::int64_t>(bytes_a_second)));
                     const int descriptor = connect_to(instance.process().front());
                     if (descriptor < 0) {
                         continue;
