Explain on the platform where a request would go, and why

Where a dispatcher decides, it explains its part the same way. At most two explanations a second; nothing is served at the balancer's port.

--- a/source/cli/command.cpp
+++ b/source/cli/command.cpp
@@ -18,7 +18,7 @@
     {"status", "show what an instance knows: versions, owners, members, lags", run_status},
     {"drain", "take a data centre, an instance or a backend server out of service", run_drain},
     {"undrain", "bring a data centre, an instance or a backend server back into service", run_undrain},
-    {"explain", "show who owns a key, since when and why", run_explain},
+    {"explain", "show who owns a key, or where a request would go, and why", run_explain},
     {"timeline", "merge the events of several instances into one time line", run_timeline},
     {"load", "generate load and measure latencies", run_load},
     {"replay", "run a recorded trace again and check its stated outcomes", run_replay},
--- a/source/cli/http_call.cpp
+++ b/source/cli/http_call.cpp
@@ -36,9 +36,14 @@
 
 } // namespace
 
-base::result<http_answer> http_get(const model::address& address, const std::string& path_and_query) {
+base::result<http_answer> http_get(const model::address& address, const std::string& path_and_query,
+                                   const std::vector<header_field>& fields) {
     QNetworkAccessManager manager;
-    return wait_for(manager.get(request_to(address, path_and_query)), address);
+    auto request = request_to(address, path_and_query);
+    for (const auto& [name, value] : fields) {
+        request.setRawHeader(QByteArray::fromStdString(name), QByteArray::fromStdString(value));
+    }
+    return wait_for(manager.get(request), address);
 }
 
 base::result<http_answer> http_post(const model::address& address, const std::string& path, const QByteArray& body) {
--- a/source/cli/http_call.hpp
+++ b/source/cli/http_call.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <QByteArray>
 
@@ -14,9 +16,13 @@
     QByteArray body;
 };
 
+/// Name and value of a header field.
+using header_field = std::pair<std::string, std::string>;
+
 /// Blocking calls of the command line tools to an instance's operators' address or the platform, with a limit of 10 s.
 /// A call may be sent twice, so it must be safe to repeat. Fails with peer_unreachable.
-[[nodiscard]] base::result<http_answer> http_get(const model::address& address, const std::string& path_and_query);
+[[nodiscard]] base::result<http_answer> http_get(const model::address& address, const std::string& path_and_query,
+                                                 const std::vector<header_field>& fields = {});
 [[nodiscard]] base::result<http_answer> http_post(const model::address& address, const std::string& path,
                                                   const QByteArray& body);
 
--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -62,13 +62,14 @@
                                static_cast<std::uint64_t>(base::unix_time_now().count()), settings_.processor,
                                settings_.data_centres},
              std::random_device{}()),
+      explainer_(state_),
       relay_(
           *adapters_.dialect, [this](const routing::event& event) { handle(event); }, caller_connections(settings_),
           http::limits_for_memory(settings_.memory)),
       load_exchange_([this](const routing::event& event) { handle(event); }),
       readiness_server_(*adapters_.dialect,
                         {[this] { return routing::is_ready(state_); }, [this] { return metrics_text(); }}),
-      metrics_server_(*adapters_.dialect, {[] { return false; }, [this] { return metrics_text(); }}),
+      metrics_server_(*adapters_.dialect, {[] { return false; }, [this] { return metrics_text(); }, &explainer_}),
       store_(adapters_.make_store([this](const routing::event& event) { handle(event); })),
       grants_(adapters_.make_grants([this](const routing::event& event) { handle(event); })) {
     relay_.set_connection_limit(connections_per_server);
@@ -285,6 +286,7 @@
     gauge("lovagetack_counter_roles", {}, state_.allowances.counting.size());
     gauge("lovagetack_client_accounts", {}, state_.configuration.accounts.accounts().size());
     gauge("lovagetack_retries_total", {}, state_.retries);
+    gauge("lovagetack_explanations_total", {}, explainer_.count());
     gauge("lovagetack_ranges_moved_total", {}, state_.moves);
     gauge("lovagetack_requests_open", {}, state_.exchanges.size());
     gauge("lovagetack_caller_connections", {}, relay_.caller_connections());
--- a/source/gateway/gateway.hpp
+++ b/source/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include <QTimer>
 
 #include "base/result.hpp"
+#include "gateway/explainer.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/memory_log.hpp"
 #include "gateway/operators_server.hpp"
@@ -96,6 +97,7 @@
     platform_adapters adapters_;
     telemetry::event_log log_;
     routing::state state_;
+    explainer explainer_;
     relay relay_;
     load_exchange load_exchange_;
     operators_server readiness_server_;
--- a/tests/crowds/crowds_test.cpp
+++ b/tests/crowds/crowds_test.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <optional>
+#include <thread>
 
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -120,4 +122,25 @@
     CHECK(system.lives());
 }
 
+// Guards against a tool that explains something else than what callers meet, or sends what it explains.
+TEST_CASE("the command line explains where a request would go", "[explain]") {
+    deployment system({});
+    const auto explain = [&](const std::string& path) {
+        return system.run_tool({"explain", "--path", path, "--host", "h", "--field", "Lovagetack-Deadline-Ms: 5000",
+                                "--at", system.metrics_address()});
+    };
+    const auto [sent, status] = explain("/orders/1");
+    CHECK(status == 0);
+    CHECK(sent.find("\"decision\": \"sent\"") != std::string::npos);
+    CHECK(sent.find("\"server\": \"server-1\"") != std::string::npos);
+    // The next explanation is made half a second later.
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    const auto [unknown, unknown_status] = explain("/none/1");
+    CHECK(unknown_status == 0);
+    CHECK(unknown.find("\"status\": 404") != std::string::npos);
+    CHECK(system.run_tool({"explain", "--path", "orders", "--at", system.metrics_address()}).second == 2);
+    CHECK(system.run_tool({"explain", "--path", "/orders/1"}).second == 2);
+    CHECK(system.ask(small_body) == 200);
+}
+
 } // namespace lovagetack::crowds
--- a/tests/crowds/deployment.cpp
+++ b/tests/crowds/deployment.cpp
@@ -62,8 +62,11 @@
         {"provider", QJsonObject{{"address", text(model::to_text(store_address))}}}};
     const auto file = (folder_.path() / "front-1.json").string();
     std::ofstream(file) << QJsonDocument(settings).toJson().toStdString();
-    instance_ = std::make_unique<harness::process>(
-        "front-1", std::vector<std::string>{LOVAGETACK_PROGRAM, "gateway", "--settings", file}, folder_.path());
+    instance_ = std::make_unique<harness::process>("front-1",
+                                                   std::vector<std::string>{LOVAGETACK_PROGRAM, "gateway", "--settings",
+                                                                            file, "--metrics-port",
+                                                                            std::to_string(metrics_.number())},
+                                                   folder_.path());
     harness::wait_for(
         [this] {
             QCoreApplication::processEvents();
@@ -102,6 +105,14 @@
                                             std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x'));
 }
 
+std::pair<std::string, int> deployment::run_tool(const std::vector<std::string>& words) const {
+    std::vector<std::string> command{LOVAGETACK_PROGRAM};
+    command.insert(command.end(), words.begin(), words.end());
+    harness::process tool("tool", command, folder_.path());
+    const auto status = tool.wait();
+    return {tool.log(), status};
+}
+
 double deployment::memory(const std::string& name) const {
     constexpr double kibibytes = 1024;
     std::ifstream status("/proc/" + std::to_string(instance_->id()) + "/status");
--- a/tests/crowds/deployment.hpp
+++ b/tests/crowds/deployment.hpp
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "integration/process.hpp"
 #include "integration/reserved_port.hpp"
@@ -31,6 +33,10 @@
     [[nodiscard]] std::uint16_t port() const { return callers_.number(); }
     /// Status of the answer to a request with a body; 0 if there was none.
     int ask(std::size_t body_bytes) const;
+    /// Where operators get metrics and explanations.
+    [[nodiscard]] std::string metrics_address() const { return metrics_.address(); }
+    /// Output of the command line tool with these words, and its exit status.
+    [[nodiscard]] std::pair<std::string, int> run_tool(const std::vector<std::string>& words) const;
     [[nodiscard]] bool lives() { return !instance_->status().has_value(); }
     /// A figure of /proc/PID/status in MiB: VmRSS (now) or VmHWM (at its peak).
     [[nodiscard]] double memory(const std::string& name) const;
@@ -48,6 +54,7 @@
     harness::temporary_folder folder_;
     harness::reserved_port callers_;
     harness::reserved_port readiness_;
+    harness::reserved_port metrics_;
     harness::reserved_port internal_;
     soak::store store_;
     stand_ins::http_server server_;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -57,7 +57,8 @@
         settings.instance = model::instance_id("one");
         settings.data_centre = model::data_centre_id("north");
         settings.callers = {"127.0.0.1", port = test::unused_port()};
-        settings.readiness = {"127.0.0.1", 0};
+        settings.readiness = {"127.0.0.1", readiness_port = test::unused_port()};
+        settings.metrics_port = metrics_port = test::unused_port();
         settings.grace = grace;
         platform_adapters adapters;
         adapters.dialect = std::make_unique<operators_platform::dialect>();
@@ -112,8 +113,24 @@
     event_handler report;
     std::unique_ptr<gateway> instance;
     std::uint16_t port = 0;
+    std::uint16_t readiness_port = 0;
+    std::uint16_t metrics_port = 0;
 };
 
+/// Waits until the next explanation is made.
+void pass_period() {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(600);
+    test::run_until([end] { return std::chrono::steady_clock::now() > end; });
+}
+
+/// The answer to a request of the operators with the key 7.
+std::string read_page(std::uint16_t port, const std::string& target) {
+    raw_socket caller(port);
+    caller.send("GET " + target + " HTTP/1.1\r\nHost: host\r\nLovagetack-Shard-Key: 7\r\nConnection: close\r\n\r\n");
+    caller.wait_for_close();
+    return caller.received();
+}
+
 } // namespace
 
 // Guards against requests that are cut off at the end of the grace period, so that their callers know nothing of their
@@ -158,4 +175,27 @@
     server.wait_for_close();
 }
 
+TEST_CASE("an instance explains at the metrics port alone where a request would go, and sends nothing") {
+    fixture test(std::chrono::seconds(6));
+    const auto sent = read_page(test.metrics_port, "/explain/pay/1");
+    CHECK(sent.find("HTTP/1.1 200 ") == 0);
+    CHECK(sent.find("\"decision\": \"sent\"") != std::string::npos);
+    CHECK(sent.find("\"server\": \"book-0\"") != std::string::npos);
+    pass_period();
+    const auto waiting = read_page(test.metrics_port, "/explain/look/1");
+    CHECK(waiting.find("\"decision\": \"waits_for_owner\"") != std::string::npos);
+    CHECK(waiting.find("\"moving_from\": \"board-1\"") != std::string::npos);
+    pass_period();
+    const auto slot = read_page(test.metrics_port, "/explain-slot?sender=one&service=book&data_centre=north&group=0"
+                                                   "&server=&priority=0&age_ms=0&patience_ms=200");
+    CHECK(slot.find("\"decision\": \"granted\"") != std::string::npos);
+    CHECK(read_page(test.metrics_port, "/explain-slot?service=book&group=x").find("HTTP/1.1 400 ") == 0);
+    CHECK(read_page(test.metrics_port, "/explainer").find("HTTP/1.1 404 ") == 0);
+    CHECK(read_page(test.readiness_port, "/explain/pay/1").find("HTTP/1.1 404 ") == 0);
+    const auto metrics = read_page(test.metrics_port, "/metrics");
+    CHECK(metrics.find("lovagetack_explanations_total 3") != std::string::npos);
+    CHECK(metrics.find("lovagetack_requests_open 0") != std::string::npos);
+    CHECK(test.server.connections() == 0);
+}
+
 } // namespace lovagetack::gateway
