--- a/source/gateway/gateway.cpp
+++ b/source/gateway/gateway.cpp
@@ -62,10 +62,9 @@
                                static_cast<std::uint64_t>(base::unix_time_now().count()), settings_.processor,
                                settings_.data_centres},
              std::random_device{}()),
-      explainer_(state_),
-      relay_(
-          *adapters_.dialect, [this](const routing::event& event) { handle(event); }, caller_connections(settings_),
-          http::limits_for_memory(settings_.memory)),
+      explainer_(state_), relay_(
+                              *adapters_.dialect, [this](const routing::event& event) { handle(event); },
+                              caller_connections(settings_), http::limits_for_memory(settings_.memory)),
       load_exchange_([this](const routing::event& event) { handle(event); }),
       readiness_server_(*adapters_.dialect,
                         {[this] { return routing::is_ready(state_); }, [this] { return metrics_text(); }}),
